--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -67,7 +67,11 @@
 	GString *event;	  /* a part of an event, of a resumable stream */
 	char *last_event; /* that the caller has */
 	ms_t load_since;
+	ms_t load_wait; /* for adapters, in all */
 	ms_t sent_at;
+	ms_t first_byte; /* after its arrival; 0 before */
+	ms_t data_at;	 /* when the last part of the answer came */
+	ms_t gap;	 /* the longest pause between two parts */
 	uv_timer_t timer;
 	const char *why; /* the last thing that went wrong */
 };
@@ -101,28 +105,34 @@
 	g_clear_pointer(&forward->endpoint, fleet_endpoint_unref);
 }
 
+/* Room for a number as text. */
+typedef struct {
+	char text[24];
+} number_t;
+
+static const char *number(number_t *at, int64_t value)
+{
+	g_snprintf(at->text, sizeof(at->text), "%" G_GINT64_FORMAT,
+		   (gint64)value);
+	return at->text;
+}
+
 static void log_end(const forward_t *forward, const char *outcome, int status)
 {
-	ms_t now = now_of(forward);
-	char *took =
-		g_strdup_printf("%" G_GINT64_FORMAT,
-				(gint64)(now - call_arrived_at(forward->call)));
-	char *sends = g_strdup_printf("%u", forward->arrivals);
-	char *code = g_strdup_printf("%d", status);
-	char *version =
-		g_strdup_printf("%" G_GINT64_FORMAT,
-				(gint64)route_table_version(forward->routes));
+	ms_t took = now_of(forward) - call_arrived_at(forward->call);
+	int64_t version = route_table_version(forward->routes);
+	number_t room[7];
 
 	log_info("request", "id", forward->fields.id, "route",
-		 forward->route->name, "outcome", outcome, "status", code, "ms",
-		 took, "sends", sends, "endpoint",
+		 forward->route->name, "outcome", outcome, "status",
+		 number(&room[0], status), "ms", number(&room[1], took),
+		 "load_ms", number(&room[2], forward->load_wait), "first_ms",
+		 number(&room[3], forward->first_byte), "gap_ms",
+		 number(&room[6], forward->gap), "sends",
+		 number(&room[4], forward->arrivals), "endpoint",
 		 forward->endpoint ? fleet_endpoint_id(forward->endpoint) : "",
-		 "adapter", forward->adapter, "config", version, "why",
-		 forward->why, NULL);
-	g_free(took);
-	g_free(sends);
-	g_free(code);
-	g_free(version);
+		 "adapter", forward->adapter, "config",
+		 number(&room[5], version), "why", forward->why, NULL);
 }
 
 /* The call has ended, or is about to be ended by the caller of this. */
@@ -280,8 +290,9 @@
 	if (forward->is_begun)
 		return;
 	forward->is_begun = TRUE;
-	histogram_add(front->first_byte_time,
-		      now_of(forward) - call_arrived_at(forward->call));
+	forward->first_byte =
+		now_of(forward) - call_arrived_at(forward->call);
+	histogram_add(front->first_byte_time, forward->first_byte);
 	call_begin(forward->call, forward->head, size);
 }
 
@@ -325,10 +336,20 @@
 	}
 }
 
+static void note_gap(forward_t *forward)
+{
+	ms_t now = now_of(forward);
+
+	if (forward->data_at)
+		forward->gap = MAX(forward->gap, now - forward->data_at);
+	forward->data_at = now;
+}
+
 static void on_data(void *ctx, const char *data, size_t size)
 {
 	forward_t *forward = ctx;
 
+	note_gap(forward);
 	if (forward->is_stream && is_success(forward) &&
 	    is_valid_success(forward)) {
 		begin_answer(forward, -1);
@@ -677,9 +698,10 @@
 	for (i = 0; i < list->len; i++) {
 		forward_t *forward = list->pdata[i];
 
+		forward->load_wait += now_of(forward) - forward->load_since;
 		if (version)
 			histogram_add(front->load_wait_time,
-				      now_of(forward) - forward->load_since);
+				      forward->load_wait);
 		if (version && fleet_endpoint_is_usable(forward->endpoint)) {
 			forward_send(forward);
 		} else {
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -188,9 +188,7 @@
 		log_item("endpoint listed", item,
 			 fleet_endpoint_is_usable(endpoint) ? "ready"
 							    : "leaving");
-	if (decoded.info.models && *decoded.info.models)
-		adapters_set_engine(front->adapters, id, TRUE);
-	else if (endpoint != former)
+	if (decoded.info.is_engine && endpoint != former)
 		adapters_set_engine(front->adapters, id, TRUE);
 	decoded_endpoint_release(&decoded);
 	if (endpoint != former ||
