--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -15,9 +15,6 @@
 /* The secret that the instances share, before it is written in hexadecimal. */
 #define SECRET_BYTES 32
 
-/* How often holders are told which adapters are in use. */
-#define BEAT_MS 500
-
 /* A third of the time between renewals of the lease is left for retries. */
 #define LEASE_RENEW_PART 3
 /* Clocks of two machines run apart by less than this part of a lease. */
@@ -149,11 +146,6 @@
 	return g_hash_table_size(adapters->held) ? 0 : MS_NEVER;
 }
 
-static void on_beat(uv_timer_t *timer)
-{
-	adapters_peers_flush_used(timer->data);
-}
-
 static void wake(void *ctx)
 {
 	/* The ticker comes round within TICKER_MAX_MS. */
@@ -209,19 +201,18 @@
 	adapters->holdings = create_holdings(adapters);
 	adapters->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       held_engine_destroy);
-	adapters->used =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	adapters->asked = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						g_free, asked_free);
+	adapters->self_news = g_queue_new();
+	uv_timer_init(loop, &adapters->self_timer);
 	adapters->records =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	adapters->orders = counter_get("hc_orders_total");
 	adapters->reports = counter_get("hc_reports_total");
-	adapters->refused = counter_get("hc_wants_refused_total");
+	adapters->refused = counter_get("hc_asks_refused_total");
 	adapters->order_time = histogram_get("hc_order_ms");
 	adapters->ticker =
 		ticker_create(loop, process_clock(process), &actions, adapters);
-	uv_timer_init(loop, &adapters->beat);
-	adapters->beat.data = adapters;
-	uv_timer_start(&adapters->beat, on_beat, BEAT_MS, BEAT_MS);
 	return adapters;
 }
 
@@ -343,39 +334,16 @@
 	g_hash_table_foreach(adapters->held, declare, &at);
 }
 
-gboolean adapters_may_load(const adapters_t *adapters, const char *engine)
+gboolean adapters_can_ask(const adapters_t *adapters, const char *engine)
 {
 	const char *holder = holdings_holder(adapters->holdings, engine);
 
 	if (g_hash_table_contains(adapters->held, engine))
-		return lease_is_valid(adapters->lease, now_of(adapters));
+		return TRUE;
 	return holder && adapters->peers &&
 	       peers_is_up(adapters->peers, holder);
 }
 
-void adapters_want(adapters_t *adapters, const char *engine,
-		   const char *adapter, int64_t version)
-{
-	held_engine_t *held = g_hash_table_lookup(adapters->held, engine);
-	const char *holder;
-
-	if (held) {
-		held_engine_want(held, NULL, adapter, version);
-		return;
-	}
-	holder = holdings_holder(adapters->holdings, engine);
-	if (!holder ||
-	    !adapters_peers_want(adapters, holder, engine, adapter, version))
-		adapters_tell(adapters, NULL, NEWS_REFUSED, engine, adapter, 0);
-}
-
-void adapters_used(adapters_t *adapters, const char *engine,
-		   const char *adapter)
-{
-	g_hash_table_add(adapters->used,
-			 g_strconcat(engine, " ", adapter, NULL));
-}
-
 guint adapters_instance_count(const adapters_t *adapters)
 {
 	return MAX(holdings_instance_count(adapters->holdings), 1);
--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -2,32 +2,41 @@
 #define FRONT_ADAPTERS_H
 
 /*
- * Brings adapters to engines: this instance's part as a holder of engines, and
- * its part as one that asks the holders.
+ * Admission of requests to engines, and the adapters there: this instance's
+ * part as a holder of engines, and its part as one that asks the holders.
  *
- * What hold/holdings.h and hold/adapter_cache.h decide is carried out here:
- * records are written, engines are ordered and asked for reports.  Instances
- * talk by frames (wire/conn.h): a want goes to the engine's holder, which tells
- * all who wanted an adapter when it is there, and when it is to go.
+ * What hold/holdings.h, hold/adapter_cache.h and hold/gate.h decide is carried
+ * out here: records are written, engines are ordered and asked for reports.
+ * Instances talk by frames (wire/conn.h).  Each request for an engine is asked
+ * for at the engine's holder, which brings the adapter, waits for a place, and
+ * lets the request through.
  */
 
 #include <glib.h>
 
+#include "hold/gate.h"
 #include "kv/kv.h"
 #include "route/fleet.h"
+#include "route/route_table.h"
 #include "serve/process.h"
 
 typedef struct adapters adapters_t;
 
+/* Names a question in later calls; never 0. */
+typedef int64_t ask_id_t;
+
 typedef struct {
-	/* The adapter can be used there; a version of 0: no longer. */
-	void (*on_adapter)(void *ctx, const char *engine, const char *adapter,
-			   int64_t version);
-	/* It can't be brought there now. */
-	void (*on_refused)(void *ctx, const char *engine, const char *adapter);
-	/* The adapter slots of an engine's service, and its base model. */
-	int (*slots)(void *ctx, const fleet_endpoint_t *engine,
-		     const char **model);
+	/* The request may be sent now; the adapter has this version there. */
+	void (*on_go)(void *ctx, ask_id_t ask, int64_t version, int running);
+	/* The holder has the question, and the request has to wait. */
+	void (*on_wait)(void *ctx, ask_id_t ask);
+	/* Not there; worth another question after this time.  The id is void.
+	 */
+	void (*on_refused)(void *ctx, ask_id_t ask, ms_t retry_after);
+	/* An adapter is no longer usable at an engine. */
+	void (*on_dropped)(void *ctx, const char *engine, const char *adapter);
+	/* The service of an engine, or NULL while it is not known. */
+	const service_t *(*service)(void *ctx, const fleet_endpoint_t *engine);
 	/* The version of an adapter that was declared last; 0 for none. */
 	int64_t (*declared)(void *ctx, const char *adapter);
 } adapters_events_t;
@@ -37,8 +46,19 @@
 	int listen_port;
 	ms_t order_gap; /* between orders of two holders */
 	ms_t lease_ttl;
+	ms_t load_time;	       /* of an adapter from the store of weights */
+	ms_t again_time;       /* of one that the engine held recently */
+	double prefill_per_ms; /* prompt tokens that an engine reads */
 } adapters_options_t;
 
+typedef struct {
+	const char *engine;
+	const char *adapter; /* NULL for the base model alone */
+	int64_t version;     /* the oldest that will do */
+	gboolean is_missing; /* the engine refused it as not resident */
+	gate_request_t request;
+} ask_t;
+
 /* All but the options outlive the object. */
 adapters_t *adapters_create(process_t *process, kv_t *kv, fleet_t *fleet,
 			    const adapters_options_t *options,
@@ -62,17 +82,19 @@
 void adapters_declare(adapters_t *adapters, const char *adapter,
 		      int64_t version);
 
-/* Whether a want would reach the engine's holder. */
-gboolean adapters_may_load(const adapters_t *adapters, const char *engine);
+/* Whether a question would reach the engine's holder. */
+gboolean adapters_can_ask(const adapters_t *adapters, const char *engine);
 
-/* Ask for an adapter; on_adapter() or on_refused() follows, maybe at once. */
+/* Never calls back before it returns. */
+ask_id_t adapters_ask(adapters_t *adapters, const ask_t *ask);
+
+/* The request has ended, or is not to be sent after all. */
+void adapters_done(adapters_t *adapters, ask_id_t ask);
+
+/* Bring an adapter there; no answer follows. */
 void adapters_want(adapters_t *adapters, const char *engine,
 		   const char *adapter, int64_t version);
 
-/* A request uses the adapter there. */
-void adapters_used(adapters_t *adapters, const char *engine,
-		   const char *adapter);
-
 /* Instances that are known to be alive, this one counted; at least 1. */
 guint adapters_instance_count(const adapters_t *adapters);
 
--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -9,6 +9,9 @@
 #define ORDER_TIMEOUT_MS 400
 #define REPORT_MAX_BYTES (256 * 1024)
 
+/* Time to come back when there was no room for an adapter. */
+#define ADAPTER_RETRY_MS 250
+
 static ms_t now_of(const adapters_t *adapters)
 {
 	return ms_clock_now(process_clock(adapters->process));
@@ -21,6 +24,17 @@
 	return names[kind];
 }
 
+static const char *model_of(const held_engine_t *held)
+{
+	const adapters_t *adapters = held->adapters;
+	const service_t *service =
+		adapters->events.service(adapters->ctx, held->endpoint);
+
+	return service && service->model ? service->model : "";
+}
+
+static void move_asks(held_engine_t *held, ms_t now);
+
 static void on_order(void *ctx, int status, const char *body, size_t size,
 		     const GError *error)
 {
@@ -40,6 +54,7 @@
 			 text, "error", error ? error->message : "", NULL);
 	g_free(text);
 	adapter_cache_answered(held->cache, now, answer);
+	move_asks(held, now);
 }
 
 static void send_order(void *ctx, const cache_order_t *order)
@@ -50,7 +65,6 @@
 	int64_t fence =
 		holdings_order(adapters->holdings, adapters->now,
 			       lease_valid_until(adapters->lease), held->id);
-	const char *model = NULL;
 	http_header_t headers[] = {{"content-type", "application/json"},
 				   engine_order_header(held->id),
 				   {NULL, NULL}};
@@ -65,8 +79,7 @@
 		.timeout = ORDER_TIMEOUT_MS,
 	};
 
-	adapters->events.slots(adapters->ctx, held->endpoint, &model);
-	body = engine_render_order(order, model ? model : "", instance, fence);
+	body = engine_render_order(order, model_of(held), instance, fence);
 	request.body = body;
 	request.body_size = strlen(body);
 	held->ordered_at = adapters->now;
@@ -87,19 +100,18 @@
 	held_engine_t *held = ctx;
 	adapters_t *adapters = held->adapters;
 	engine_report_t report;
-	const char *model = NULL;
 	GError *fault = NULL;
 
 	held->report = NULL;
-	adapters->events.slots(adapters->ctx, held->endpoint, &model);
 	if (error || status != 200) {
 		adapter_cache_report(held->cache, now_of(adapters), NULL);
 		return;
 	}
-	if (engine_parse_report(body, size, model, &report, &fault)) {
+	if (engine_parse_report(body, size, model_of(held), &report, &fault)) {
 		adapter_cache_report(held->cache, now_of(adapters),
 				     &report.report);
 		engine_report_release(&report);
+		move_asks(held, now_of(adapters));
 		return;
 	}
 	log_warn("report unreadable", "endpoint", held->id, "error",
@@ -125,41 +137,34 @@
 				       REPORT_MAX_BYTES, on_report, held);
 }
 
-/* Tell all who asked; ends their subscription unless they may use it. */
-static void tell_all(held_engine_t *held, news_kind_t kind, const char *adapter,
-		     int64_t version)
-{
-	GPtrArray *subscribers =
-		g_hash_table_lookup(held->subscribers, adapter);
-	guint i;
-
-	if (!subscribers)
-		return;
-	g_ptr_array_ref(subscribers);
-	if (kind != NEWS_READY)
-		g_hash_table_remove(held->subscribers, adapter);
-	for (i = 0; i < subscribers->len; i++)
-		adapters_tell(held->adapters, subscribers->pdata[i], kind,
-			      held->id, adapter, version);
-	g_ptr_array_unref(subscribers);
-}
-
+/* Asks that wait for an adapter move on once it is there, at move_asks(). */
 static void on_ready(void *ctx, const char *adapter, int64_t version)
 {
-	tell_all(ctx, NEWS_READY, adapter, version);
 }
 
 static void on_dropped(void *ctx, const char *adapter)
 {
-	tell_all(ctx, NEWS_DROPPED, adapter, 0);
+	held_engine_t *held = ctx;
+	holder_news_t news = {.type = MESSAGE_DROPPED,
+			      .engine = held->id,
+			      .adapter = adapter};
+	GPtrArray *users = g_hash_table_lookup(held->users, adapter);
+	guint i;
+
+	for (i = 0; users && i < users->len; i++)
+		adapters_answer(held->adapters, users->pdata[i], &news);
+	g_hash_table_remove(held->users, adapter);
 }
 
 static void on_refused(void *ctx, const char *adapter)
 {
 	held_engine_t *held = ctx;
+	held_ask_t *ask;
 
-	counter_add(held->adapters->refused, 1);
-	tell_all(held, NEWS_REFUSED, adapter, 0);
+	TAILQ_FOREACH (ask, &held->asks, link) {
+		if (!ask->ticket && !g_strcmp0(ask->adapter, adapter))
+			ask->is_refused = TRUE;
+	}
 }
 
 static const cache_actions_t cache_actions = {
@@ -170,6 +175,92 @@
 	.refused = on_refused,
 };
 
+static void add_user(held_engine_t *held, const held_ask_t *ask)
+{
+	GPtrArray *users = g_hash_table_lookup(held->users, ask->adapter);
+
+	if (!users) {
+		users = g_ptr_array_new();
+		g_hash_table_insert(held->users, g_strdup(ask->adapter), users);
+	}
+	if (!g_ptr_array_find(users, ask->asker, NULL))
+		g_ptr_array_add(users, ask->asker);
+}
+
+static void on_go(void *ctx, ticket_t *ticket)
+{
+	held_engine_t *held = ctx;
+	held_ask_t *ask = ticket_data(ticket);
+	holder_news_t news = {.type = MESSAGE_GO,
+			      .ask = ask->id,
+			      .running = gate_running(held->gate)};
+
+	if (ask->adapter) {
+		news.version = adapter_cache_version(held->cache, ask->adapter);
+		add_user(held, ask);
+	}
+	adapters_answer(held->adapters, ask->asker, &news);
+}
+
+static const gate_actions_t gate_actions = {on_go};
+
+static void ask_free(held_engine_t *held, held_ask_t *ask, ms_t now)
+{
+	if (ask->ticket) {
+		gate_done(held->gate, now, ask->ticket);
+		if (ask->adapter)
+			adapter_cache_release(held->cache, now, ask->adapter);
+	}
+	TAILQ_REMOVE(&held->asks, ask, link);
+	g_free(ask->adapter);
+	g_free(ask);
+}
+
+static void ask_refuse(held_engine_t *held, held_ask_t *ask, ms_t now,
+		       ms_t retry_after)
+{
+	holder_news_t news = {.type = MESSAGE_REFUSED,
+			      .ask = ask->id,
+			      .retry_after = retry_after};
+
+	counter_add(held->adapters->refused, 1);
+	adapters_answer(held->adapters, ask->asker, &news);
+	ask_free(held, ask, now);
+}
+
+/* FALSE if it was refused. */
+static gboolean ask_submit(held_engine_t *held, held_ask_t *ask, ms_t now)
+{
+	ms_t wait;
+
+	ask->ticket = gate_submit(held->gate, now, &ask->request, ask, &wait);
+	if (!ask->ticket) {
+		ask_refuse(held, ask, now, wait);
+		return FALSE;
+	}
+	if (ask->adapter)
+		adapter_cache_use(held->cache, now, ask->adapter);
+	return TRUE;
+}
+
+/* What waited for its adapter goes to the gate, or back to its asker. */
+static void move_asks(held_engine_t *held, ms_t now)
+{
+	held_ask_t *ask;
+	held_ask_t *next;
+
+	for (ask = TAILQ_FIRST(&held->asks); ask; ask = next) {
+		next = TAILQ_NEXT(ask, link);
+		if (ask->ticket)
+			continue;
+		if (ask->is_refused)
+			ask_refuse(held, ask, now, ADAPTER_RETRY_MS);
+		else if (adapter_cache_version(held->cache, ask->adapter))
+			ask_submit(held, ask, now);
+	}
+	gate_tick(held->gate, now);
+}
+
 static void cancel_calls(held_engine_t *held)
 {
 	if (held->order)
@@ -180,43 +271,59 @@
 	held->report = NULL;
 }
 
-static void drop_cache(held_engine_t *held)
+static void drop_engine(held_engine_t *held)
 {
-	GHashTableIter iter;
-	gpointer adapter;
-	GPtrArray *adapters = g_ptr_array_new_with_free_func(g_free);
-	guint i;
+	ms_t now = now_of(held->adapters);
+	held_ask_t *ask;
 
 	cancel_calls(held);
+	while ((ask = TAILQ_FIRST(&held->asks))) {
+		if (!ask->ticket || ticket_is_waiting(ask->ticket))
+			ask_refuse(held, ask, now, 0);
+		else
+			ask_free(held, ask, now);
+	}
 	g_clear_pointer(&held->cache, adapter_cache_destroy);
+	g_clear_pointer(&held->gate, gate_destroy);
 	g_clear_pointer(&held->endpoint, fleet_endpoint_unref);
-	g_hash_table_iter_init(&iter, held->subscribers);
-	while (g_hash_table_iter_next(&iter, &adapter, NULL))
-		g_ptr_array_add(adapters, g_strdup(adapter));
-	for (i = 0; i < adapters->len; i++)
-		tell_all(held, NEWS_REFUSED, adapters->pdata[i], 0);
-	g_ptr_array_free(adapters, TRUE);
+	g_hash_table_remove_all(held->users);
+}
+
+static void engine_options(const held_engine_t *held,
+			   const fleet_endpoint_t *endpoint,
+			   cache_options_t *cache, gate_options_t *gate)
+{
+	const adapters_t *adapters = held->adapters;
+	const service_t *service =
+		adapters->events.service(adapters->ctx, endpoint);
+
+	cache->slot_count = service ? service->adapter_slots : 0;
+	cache->load_time = adapters->options.load_time;
+	cache->again_time = adapters->options.again_time;
+	gate->places = fleet_endpoint_places(endpoint);
+	gate->prefill_per_ms = adapters->options.prefill_per_ms;
 }
 
 /* A cache is of one incarnation: a new one holds nothing of the old. */
 static void follow_incarnation(held_engine_t *held)
 {
-	adapters_t *adapters = held->adapters;
-	fleet_endpoint_t *listed = fleet_find(adapters->fleet, held->id);
-	const char *model;
-	int slots;
+	fleet_endpoint_t *listed = fleet_find(held->adapters->fleet, held->id);
+	cache_options_t cache;
+	gate_options_t gate;
 
 	if (held->endpoint && held->endpoint != listed)
-		drop_cache(held);
+		drop_engine(held);
 	if (!listed)
 		return;
-	slots = adapters->events.slots(adapters->ctx, listed, &model);
+	engine_options(held, listed, &cache, &gate);
 	if (held->cache) {
-		adapter_cache_set_slots(held->cache, slots);
+		adapter_cache_set_options(held->cache, &cache);
+		gate_set_options(held->gate, &gate);
 		return;
 	}
 	held->endpoint = fleet_endpoint_ref(listed);
-	held->cache = adapter_cache_create(slots, &cache_actions, held);
+	held->cache = adapter_cache_create(&cache, &cache_actions, held);
+	held->gate = gate_create(&gate, &gate_actions, held);
 }
 
 void held_engine_tick(held_engine_t *held, ms_t now)
@@ -233,6 +340,7 @@
 				       lease_valid_until(adapters->lease),
 				       held->id);
 	adapter_cache_tick(held->cache, now, may_order);
+	move_asks(held, now);
 }
 
 void held_engine_begin(adapters_t *adapters, const char *engine)
@@ -241,9 +349,9 @@
 
 	held->adapters = adapters;
 	held->id = g_strdup(engine);
-	held->subscribers =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)g_ptr_array_unref);
+	held->users = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    (GDestroyNotify)g_ptr_array_unref);
+	TAILQ_INIT(&held->asks);
 	g_hash_table_insert(adapters->held, held->id, held);
 	log_info("engine held", "endpoint", engine, NULL);
 }
@@ -252,8 +360,8 @@
 {
 	held_engine_t *held = data;
 
-	drop_cache(held);
-	g_hash_table_destroy(held->subscribers);
+	drop_engine(held);
+	g_hash_table_destroy(held->users);
 	g_free(held->id);
 	g_free(held);
 }
@@ -264,47 +372,76 @@
 	g_hash_table_remove(adapters->held, engine);
 }
 
-static void subscribe(held_engine_t *held, conn_t *subscriber,
-		      const char *adapter)
+void held_engine_want(held_engine_t *held, const char *adapter, int64_t version)
 {
-	GPtrArray *subscribers =
-		g_hash_table_lookup(held->subscribers, adapter);
+	adapters_t *adapters = held->adapters;
+	int64_t declared = adapters->events.declared(adapters->ctx, adapter);
+	int64_t resident;
 
-	if (!subscribers) {
-		subscribers = g_ptr_array_new();
-		g_hash_table_insert(held->subscribers, g_strdup(adapter),
-				    subscribers);
-	}
-	if (!g_ptr_array_find(subscribers, subscriber, NULL))
-		g_ptr_array_add(subscribers, subscriber);
+	follow_incarnation(held);
+	if (held->cache)
+		adapter_cache_want(held->cache, now_of(adapters), adapter,
+				   MAX(version, declared), &resident);
 }
 
-void held_engine_want(held_engine_t *held, conn_t *subscriber,
-		      const char *adapter, int64_t version)
+void held_engine_ask(held_engine_t *held, conn_t *asker, ask_id_t id,
+		     const ask_t *question)
 {
 	adapters_t *adapters = held->adapters;
-	int64_t declared = adapters->events.declared(adapters->ctx, adapter);
-	int64_t resident = 0;
+	ms_t now = now_of(adapters);
+	held_ask_t *ask = g_new0(held_ask_t, 1);
+	holder_news_t news = {.type = MESSAGE_WAIT, .ask = id};
 
 	follow_incarnation(held);
+	ask->asker = asker;
+	ask->id = id;
+	ask->adapter = g_strdup(question->adapter);
+	ask->request = question->request;
+	TAILQ_INSERT_TAIL(&held->asks, ask, link);
 	if (!held->cache) {
-		adapters_tell(adapters, subscriber, NEWS_REFUSED, held->id,
-			      adapter, 0);
+		ask_refuse(held, ask, now, 0);
 		return;
 	}
-	subscribe(held, subscriber, adapter);
-	if (adapter_cache_want(held->cache, now_of(adapters), adapter,
-			       MAX(version, declared), &resident))
-		adapters_tell(adapters, subscriber, NEWS_READY, held->id,
-			      adapter, resident);
+	if (ask->adapter) {
+		if (question->is_missing)
+			adapter_cache_missing(held->cache, now, ask->adapter);
+		held_engine_want(held, ask->adapter, question->version);
+	}
+	if (!ask->adapter || adapter_cache_version(held->cache, ask->adapter)) {
+		if (!ask_submit(held, ask, now))
+			return;
+		gate_tick(held->gate, now);
+	}
+	if (!ask->ticket || ticket_is_waiting(ask->ticket))
+		adapters_answer(adapters, asker, &news);
 }
 
-void held_engine_forget(held_engine_t *held, conn_t *subscriber)
+void held_engine_done(held_engine_t *held, conn_t *asker, ask_id_t id)
 {
-	GHashTableIter iter;
-	gpointer subscribers;
+	held_ask_t *ask;
+
+	TAILQ_FOREACH (ask, &held->asks, link) {
+		if (ask->asker != asker || ask->id != id)
+			continue;
+		ask_free(held, ask, now_of(held->adapters));
+		return;
+	}
+}
 
-	g_hash_table_iter_init(&iter, held->subscribers);
-	while (g_hash_table_iter_next(&iter, NULL, &subscribers))
-		g_ptr_array_remove_fast(subscribers, subscriber);
+void held_engine_forget(held_engine_t *held, conn_t *asker)
+{
+	ms_t now = now_of(held->adapters);
+	GHashTableIter iter;
+	gpointer users;
+	held_ask_t *ask;
+	held_ask_t *next;
+
+	for (ask = TAILQ_FIRST(&held->asks); ask; ask = next) {
+		next = TAILQ_NEXT(ask, link);
+		if (ask->asker == asker)
+			ask_free(held, ask, now);
+	}
+	g_hash_table_iter_init(&iter, held->users);
+	while (g_hash_table_iter_next(&iter, NULL, &users))
+		g_ptr_array_remove_fast(users, asker);
 }
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -11,147 +11,183 @@
 /* Of these connections in their greeting. */
 #define ROLE "front"
 
-/* What this instance is told by itself waits until the caller is done. */
+/* A question of this instance. */
 typedef struct {
-	news_kind_t kind;
 	char *engine;
-	char *adapter;
-	int64_t version;
-} local_news_t;
+	char *holder; /* NULL: this instance */
+	gboolean is_let_through;
+} asked_t;
 
-static void news_arrived(adapters_t *adapters, news_kind_t kind,
-			 const char *engine, const char *adapter,
-			 int64_t version)
+void asked_free(gpointer data)
 {
-	if (kind == NEWS_REFUSED)
-		adapters->events.on_refused(adapters->ctx, engine, adapter);
-	else
-		adapters->events.on_adapter(adapters->ctx, engine, adapter,
-					    kind == NEWS_READY ? version : 0);
+	asked_t *asked = data;
+
+	g_free(asked->engine);
+	g_free(asked->holder);
+	g_free(asked);
 }
 
-static void on_local_closed(uv_handle_t *handle)
+static void forget_asked(adapters_t *adapters, ask_id_t id)
 {
-	g_free(handle);
+	g_hash_table_remove(adapters->asked, &id);
 }
 
-static void on_local(uv_timer_t *timer)
+static void news_arrived(adapters_t *adapters, const holder_news_t *news)
 {
-	void **at = timer->data;
-	adapters_t *adapters = at[0];
-	local_news_t *news = at[1];
-
-	news_arrived(adapters, news->kind, news->engine, news->adapter,
-		     news->version);
-	g_free(news->engine);
-	g_free(news->adapter);
-	g_free(news);
-	g_free(at);
-	uv_close((uv_handle_t *)timer, on_local_closed);
+	asked_t *asked;
+
+	if (news->type == MESSAGE_DROPPED) {
+		adapters->events.on_dropped(adapters->ctx, news->engine,
+					    news->adapter);
+		return;
+	}
+	/* The request may have ended since it was asked. */
+	asked = g_hash_table_lookup(adapters->asked, &news->ask);
+	if (!asked)
+		return;
+	if (news->type == MESSAGE_WAIT) {
+		adapters->events.on_wait(adapters->ctx, news->ask);
+	} else if (news->type == MESSAGE_GO) {
+		asked->is_let_through = TRUE;
+		adapters->events.on_go(adapters->ctx, news->ask, news->version,
+				       news->running);
+	} else {
+		forget_asked(adapters, news->ask);
+		adapters->events.on_refused(adapters->ctx, news->ask,
+					    news->retry_after);
+	}
 }
 
-static void tell_self(adapters_t *adapters, news_kind_t kind,
-		      const char *engine, const char *adapter, int64_t version)
+static void on_self_news(uv_timer_t *timer)
 {
-	uv_timer_t *timer = g_new0(uv_timer_t, 1);
-	local_news_t *news = g_new0(local_news_t, 1);
-	void **at = g_new(void *, 2);
-
-	news->kind = kind;
-	news->engine = g_strdup(engine);
-	news->adapter = g_strdup(adapter);
-	news->version = version;
-	at[0] = adapters;
-	at[1] = news;
-	uv_timer_init(process_loop(adapters->process), timer);
-	timer->data = at;
-	uv_timer_start(timer, on_local, 0, 0);
+	adapters_t *adapters = timer->data;
+	GQueue *queue = adapters->self_news;
+	holder_news_t *news;
+
+	adapters->self_news = g_queue_new();
+	while ((news = g_queue_pop_head(queue))) {
+		news_arrived(adapters, news);
+		g_free((char *)news->engine);
+		g_free((char *)news->adapter);
+		g_free(news);
+	}
+	g_queue_free(queue);
 }
 
-static void write_news(codec_writer_t *writer, news_kind_t kind,
-		       const char *engine, const char *adapter, int64_t version)
+/* What this instance tells itself waits until the present event is over. */
+static void tell_self(adapters_t *adapters, const holder_news_t *news)
 {
-	codec_write_init(writer, kind, 3);
-	codec_write_text(writer, engine);
-	codec_write_text(writer, adapter);
-	codec_write_int(writer, version);
+	holder_news_t *copy = g_memdup2(news, sizeof(*news));
+
+	copy->engine = g_strdup(news->engine);
+	copy->adapter = g_strdup(news->adapter);
+	g_queue_push_tail(adapters->self_news, copy);
+	adapters->self_timer.data = adapters;
+	uv_timer_start(&adapters->self_timer, on_self_news, 0, 0);
 }
 
-void adapters_tell(adapters_t *adapters, conn_t *subscriber, news_kind_t kind,
-		   const char *engine, const char *adapter, int64_t version)
+void adapters_answer(adapters_t *adapters, conn_t *asker,
+		     const holder_news_t *news)
 {
 	codec_writer_t writer;
 
-	if (!subscriber) {
-		tell_self(adapters, kind, engine, adapter, version);
+	if (!asker) {
+		tell_self(adapters, news);
 		return;
 	}
-	write_news(&writer, kind, engine, adapter, version);
-	conn_send(subscriber, &writer);
+	if (news->type == MESSAGE_DROPPED) {
+		codec_write_init(&writer, news->type, 2);
+		codec_write_text(&writer, news->engine);
+		codec_write_text(&writer, news->adapter);
+	} else {
+		codec_write_init(&writer, news->type, 4);
+		codec_write_int(&writer, news->ask);
+		codec_write_int(&writer, news->version);
+		codec_write_int(&writer, news->running);
+		codec_write_int(&writer, news->retry_after);
+	}
+	conn_send(asker, &writer);
 }
 
-static gboolean read_news(codec_reader_t *reader, char **engine, char **adapter,
-			  int64_t *version)
+static void log_unreadable(const char *peer)
 {
-	*engine = codec_read_text(reader, NAME_MAX_BYTES);
-	*adapter = codec_read_text(reader, NAME_MAX_BYTES);
-	*version = codec_read_int(reader, 0, INT64_MAX);
-	return codec_read_end(reader) && *engine && *adapter;
+	log_warn("message of a peer unreadable", "peer", peer, NULL);
 }
 
-static void log_unreadable(const char *peer)
+static void take_ask(adapters_t *adapters, conn_t *conn, codec_reader_t *reader)
 {
-	log_warn("message of a peer unreadable", "peer", peer, NULL);
+	holder_news_t refusal = {.type = MESSAGE_REFUSED};
+	char *engine = codec_read_text(reader, NAME_MAX_BYTES);
+	char *adapter = codec_read_text(reader, NAME_MAX_BYTES);
+	ask_t ask = {.engine = engine, .adapter = adapter};
+	held_engine_t *held;
+
+	refusal.ask = codec_read_int(reader, 1, INT64_MAX);
+	ask.version = codec_read_int(reader, 0, INT64_MAX);
+	ask.is_missing = codec_read_bool(reader);
+	ask.request.prompt = codec_read_int(reader, 0, INT64_MAX);
+	ask.request.priority = (int)codec_read_int(reader, 0, G_MAXINT);
+	ask.request.wait_max = codec_read_int(reader, 0, INT64_MAX);
+	if (!codec_read_end(reader) || !engine) {
+		log_unreadable(conn_peer_instance(conn));
+	} else {
+		held = g_hash_table_lookup(adapters->held, engine);
+		if (held)
+			held_engine_ask(held, conn, refusal.ask, &ask);
+		else
+			adapters_answer(adapters, conn, &refusal);
+	}
+	g_free(engine);
+	g_free(adapter);
 }
 
-static void take_used(adapters_t *adapters, codec_reader_t *reader)
+static void take_done(adapters_t *adapters, conn_t *conn,
+		      codec_reader_t *reader)
 {
-	ms_t now = ms_clock_now(process_clock(adapters->process));
 	char *engine = codec_read_text(reader, NAME_MAX_BYTES);
+	ask_id_t id = codec_read_int(reader, 1, INT64_MAX);
 	held_engine_t *held =
 		engine ? g_hash_table_lookup(adapters->held, engine) : NULL;
-	codec_reader_t names;
 
-	codec_read_array(reader, &names);
-	while (names.left && !names.is_failed) {
-		char *adapter = codec_read_text(&names, NAME_MAX_BYTES);
+	if (!codec_read_end(reader))
+		log_unreadable(conn_peer_instance(conn));
+	else if (held)
+		held_engine_done(held, conn, id);
+	g_free(engine);
+}
 
-		if (adapter && held && held->cache)
-			adapter_cache_touch(held->cache, now, adapter);
-		g_free(adapter);
-	}
+static void take_want(adapters_t *adapters, conn_t *conn,
+		      codec_reader_t *reader)
+{
+	char *engine = codec_read_text(reader, NAME_MAX_BYTES);
+	char *adapter = codec_read_text(reader, NAME_MAX_BYTES);
+	int64_t version = codec_read_int(reader, 0, INT64_MAX);
+	held_engine_t *held =
+		engine ? g_hash_table_lookup(adapters->held, engine) : NULL;
+
+	if (!codec_read_end(reader) || !adapter)
+		log_unreadable(conn_peer_instance(conn));
+	else if (held)
+		held_engine_want(held, adapter, version);
 	g_free(engine);
+	g_free(adapter);
 }
 
 /* A message of an instance that connected here. */
 static void on_request(void *ctx, conn_t *conn, const msgpack_object *message)
 {
-	adapters_t *adapters = ctx;
 	codec_reader_t reader;
-	held_engine_t *held;
-	char *engine = NULL;
-	char *adapter = NULL;
-	int64_t version;
 	int type;
 
 	codec_read_init(&reader, message, &type);
-	if (type == NEWS_USED) {
-		take_used(adapters, &reader);
-		return;
-	}
-	if (type != NEWS_WANT ||
-	    !read_news(&reader, &engine, &adapter, &version)) {
+	if (type == MESSAGE_ASK)
+		take_ask(ctx, conn, &reader);
+	else if (type == MESSAGE_DONE)
+		take_done(ctx, conn, &reader);
+	else if (type == MESSAGE_WANT)
+		take_want(ctx, conn, &reader);
+	else
 		log_unreadable(conn_peer_instance(conn));
-	} else {
-		held = g_hash_table_lookup(adapters->held, engine);
-		if (held)
-			held_engine_want(held, conn, adapter, version);
-		else
-			adapters_tell(adapters, conn, NEWS_REFUSED, engine,
-				      adapter, 0);
-	}
-	g_free(engine);
-	g_free(adapter);
 }
 
 static void on_request_ready(void *ctx, conn_t *conn)
@@ -172,20 +208,30 @@
 /* A message of a holder to which this instance connected. */
 static void on_news(void *ctx, const char *name, const msgpack_object *message)
 {
-	adapters_t *adapters = ctx;
+	holder_news_t news = {0};
 	codec_reader_t reader;
 	char *engine = NULL;
 	char *adapter = NULL;
-	int64_t version;
 	int type;
 
 	codec_read_init(&reader, message, &type);
-	if (type < NEWS_READY || type > NEWS_REFUSED ||
-	    !read_news(&reader, &engine, &adapter, &version))
+	news.type = (message_type_t)type;
+	if (type == MESSAGE_DROPPED) {
+		engine = codec_read_text(&reader, NAME_MAX_BYTES);
+		adapter = codec_read_text(&reader, NAME_MAX_BYTES);
+		news.engine = engine;
+		news.adapter = adapter;
+	} else {
+		news.ask = codec_read_int(&reader, 1, INT64_MAX);
+		news.version = codec_read_int(&reader, 0, INT64_MAX);
+		news.running = (int)codec_read_int(&reader, 0, G_MAXINT);
+		news.retry_after = codec_read_int(&reader, 0, INT64_MAX);
+	}
+	if (type < MESSAGE_GO || type > MESSAGE_DROPPED ||
+	    !codec_read_end(&reader))
 		log_unreadable(name);
 	else
-		news_arrived(adapters, (news_kind_t)type, engine, adapter,
-			     version);
+		news_arrived(ctx, &news);
 	g_free(engine);
 	g_free(adapter);
 }
@@ -195,31 +241,31 @@
 	log_info("peer connected", "peer", name, NULL);
 }
 
-typedef struct {
-	adapters_t *adapters;
-	const char *holder;
-} lost_holder_t;
-
-/* Who waits for an adapter there is told; news may have been lost. */
-static void refuse_engine(void *ctx, fleet_endpoint_t *endpoint)
-{
-	const lost_holder_t *lost = ctx;
-	adapters_t *adapters = lost->adapters;
-	const char *holder = holdings_holder(adapters->holdings,
-					     fleet_endpoint_id(endpoint));
-
-	if (holder && !strcmp(holder, lost->holder))
-		adapters->events.on_refused(adapters->ctx,
-					    fleet_endpoint_id(endpoint), NULL);
-}
-
+/* Questions that the holder has not answered are void. */
 static void on_down(void *ctx, const char *name)
 {
 	adapters_t *adapters = ctx;
-	lost_holder_t lost = {adapters, name};
+	GArray *lost = g_array_new(FALSE, FALSE, sizeof(ask_id_t));
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
+	guint i;
 
 	log_info("peer lost", "peer", name, NULL);
-	fleet_each(adapters->fleet, refuse_engine, &lost);
+	g_hash_table_iter_init(&iter, adapters->asked);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const asked_t *asked = value;
+
+		if (!g_strcmp0(asked->holder, name) && !asked->is_let_through)
+			g_array_append_val(lost, *(ask_id_t *)id);
+	}
+	for (i = 0; i < lost->len; i++) {
+		ask_id_t ask = g_array_index(lost, ask_id_t, i);
+
+		forget_asked(adapters, ask);
+		adapters->events.on_refused(adapters->ctx, ask, 0);
+	}
+	g_array_free(lost, TRUE);
 }
 
 static void keep_peer(adapters_t *adapters, const char *instance,
@@ -285,68 +331,84 @@
 		peers_forget(adapters->peers, instance);
 }
 
-gboolean adapters_peers_want(adapters_t *adapters, const char *holder,
-			     const char *engine, const char *adapter,
-			     int64_t version)
+static void send_ask(adapters_t *adapters, const char *holder, ask_id_t id,
+		     const ask_t *ask)
 {
 	codec_writer_t writer;
 
-	if (!adapters->peers || !peers_is_up(adapters->peers, holder))
-		return FALSE;
-	write_news(&writer, NEWS_WANT, engine, adapter, version);
-	return peers_send(adapters->peers, holder, &writer);
+	codec_write_init(&writer, MESSAGE_ASK, 8);
+	codec_write_text(&writer, ask->engine);
+	codec_write_text(&writer, ask->adapter);
+	codec_write_int(&writer, id);
+	codec_write_int(&writer, ask->version);
+	codec_write_bool(&writer, ask->is_missing);
+	codec_write_int(&writer, ask->request.prompt);
+	codec_write_int(&writer, ask->request.priority);
+	codec_write_int(&writer, ask->request.wait_max);
+	peers_send(adapters->peers, holder, &writer);
 }
 
-static void tell_used(adapters_t *adapters, const char *engine,
-		      GPtrArray *names)
+ask_id_t adapters_ask(adapters_t *adapters, const ask_t *ask)
+{
+	held_engine_t *held = g_hash_table_lookup(adapters->held, ask->engine);
+	const char *holder = holdings_holder(adapters->holdings, ask->engine);
+	holder_news_t refusal = {.type = MESSAGE_REFUSED};
+	ask_id_t id = ++adapters->last_ask;
+	asked_t *asked = g_new0(asked_t, 1);
+
+	asked->engine = g_strdup(ask->engine);
+	asked->holder = held ? NULL : g_strdup(holder);
+	g_hash_table_insert(adapters->asked, g_memdup2(&id, sizeof(id)), asked);
+	if (held) {
+		held_engine_ask(held, NULL, id, ask);
+	} else if (holder && adapters->peers &&
+		   peers_is_up(adapters->peers, holder)) {
+		send_ask(adapters, holder, id, ask);
+	} else {
+		refusal.ask = id;
+		adapters_answer(adapters, NULL, &refusal);
+	}
+	return id;
+}
+
+void adapters_done(adapters_t *adapters, ask_id_t id)
+{
+	asked_t *asked = g_hash_table_lookup(adapters->asked, &id);
+	held_engine_t *held;
+	codec_writer_t writer;
+
+	if (!asked)
+		return;
+	held = g_hash_table_lookup(adapters->held, asked->engine);
+	if (!asked->holder) {
+		if (held)
+			held_engine_done(held, NULL, id);
+	} else if (peers_is_up(adapters->peers, asked->holder)) {
+		codec_write_init(&writer, MESSAGE_DONE, 2);
+		codec_write_text(&writer, asked->engine);
+		codec_write_int(&writer, id);
+		peers_send(adapters->peers, asked->holder, &writer);
+	}
+	forget_asked(adapters, id);
+}
+
+void adapters_want(adapters_t *adapters, const char *engine,
+		   const char *adapter, int64_t version)
 {
-	const char *holder = holdings_holder(adapters->holdings, engine);
 	held_engine_t *held = g_hash_table_lookup(adapters->held, engine);
-	ms_t now = ms_clock_now(process_clock(adapters->process));
+	const char *holder = holdings_holder(adapters->holdings, engine);
 	codec_writer_t writer;
-	guint i;
 
 	if (held) {
-		for (i = 0; held->cache && i < names->len; i++)
-			adapter_cache_touch(held->cache, now, names->pdata[i]);
+		held_engine_want(held, adapter, version);
 		return;
 	}
 	if (!holder || !adapters->peers ||
 	    !peers_is_up(adapters->peers, holder))
 		return;
-	codec_write_init(&writer, NEWS_USED, 2);
+	codec_write_init(&writer, MESSAGE_WANT, 3);
 	codec_write_text(&writer, engine);
-	codec_write_array(&writer, names->len);
-	for (i = 0; i < names->len; i++)
-		codec_write_text(&writer, names->pdata[i]);
+	codec_write_text(&writer, adapter);
+	codec_write_int(&writer, version);
 	peers_send(adapters->peers, holder, &writer);
 }
-
-void adapters_peers_flush_used(adapters_t *adapters)
-{
-	GHashTable *engines =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)g_ptr_array_unref);
-	GHashTableIter iter;
-	gpointer key;
-	gpointer names;
-
-	g_hash_table_iter_init(&iter, adapters->used);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const char *space = strchr(key, ' ');
-		char *engine = g_strndup(key, (gsize)(space - (char *)key));
-
-		names = g_hash_table_lookup(engines, engine);
-		if (!names) {
-			names = g_ptr_array_new();
-			g_hash_table_insert(engines, g_strdup(engine), names);
-		}
-		g_ptr_array_add(names, (gpointer)(space + 1));
-		g_free(engine);
-	}
-	g_hash_table_iter_init(&iter, engines);
-	while (g_hash_table_iter_next(&iter, &key, &names))
-		tell_used(adapters, key, names);
-	g_hash_table_destroy(engines);
-	g_hash_table_remove_all(adapters->used);
-}
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -3,6 +3,8 @@
 
 /* The parts of adapters.h that its files share. */
 
+#include <sys/queue.h>
+
 #include "base/counter.h"
 #include "front/adapters.h"
 #include "hold/adapter_cache.h"
@@ -11,16 +13,53 @@
 #include "serve/peers.h"
 #include "serve/ticker.h"
 
+/* Messages of an instance that asks, then of the holder. */
+typedef enum {
+	MESSAGE_ASK = 1,
+	MESSAGE_DONE,
+	MESSAGE_WANT,
+	MESSAGE_GO,
+	MESSAGE_WAIT,
+	MESSAGE_REFUSED,
+	MESSAGE_DROPPED
+} message_type_t;
+
+/* What a holder answers. */
+typedef struct {
+	message_type_t type;
+	ask_id_t ask;
+	int64_t version;     /* of GO */
+	int running;	     /* of GO */
+	ms_t retry_after;    /* of REFUSED */
+	const char *engine;  /* of DROPPED */
+	const char *adapter; /* of DROPPED */
+} holder_news_t;
+
+/* A request that the holder was asked for. */
+typedef struct held_ask {
+	TAILQ_ENTRY(held_ask) link;
+	conn_t *asker; /* NULL for this instance */
+	ask_id_t id;
+	char *adapter; /* NULL for the base model alone */
+	gate_request_t request;
+	ticket_t *ticket; /* NULL while it waits for its adapter */
+	gboolean is_refused;
+} held_ask_t;
+
+TAILQ_HEAD(held_ask_list, held_ask);
+
 /* An engine that is held here. */
 typedef struct {
 	adapters_t *adapters;
 	char *id;
 	fleet_endpoint_t *endpoint; /* the incarnation that the cache is of */
 	adapter_cache_t *cache;
+	gate_t *gate;
 	http_call_t *order; /* open calls, or NULL */
 	http_call_t *report;
 	ms_t ordered_at;
-	GHashTable *subscribers; /* adapter to GPtrArray of conn_t or NULL */
+	struct held_ask_list asks;
+	GHashTable *users; /* adapter to GPtrArray of conn_t or NULL */
 } held_engine_t;
 
 struct adapters {
@@ -45,9 +84,11 @@
 	conn_server_t *server;
 	const conn_identity_t *identity;
 	GHashTable *records; /* instance to where it listens */
-	GHashTable *used;    /* "engine adapter" told at the next beat */
 	ms_t now;	     /* of the present tick */
-	uv_timer_t beat;
+	ask_id_t last_ask;
+	GHashTable *asked; /* questions of this instance: id to asked_t */
+	uv_timer_t self_timer;
+	GQueue *self_news; /* answers of this instance to itself */
 	counter_t *orders;
 	counter_t *reports;
 	counter_t *refused;
@@ -60,28 +101,21 @@
 void held_engine_destroy(gpointer data);
 /* Follow a new incarnation, and do what is due. */
 void held_engine_tick(held_engine_t *held, ms_t now);
-/* subscriber: a connection, or NULL for this instance. */
-void held_engine_want(held_engine_t *held, conn_t *subscriber,
-		      const char *adapter, int64_t version);
-void held_engine_forget(held_engine_t *held, conn_t *subscriber);
+void held_engine_ask(held_engine_t *held, conn_t *asker, ask_id_t id,
+		     const ask_t *ask);
+void held_engine_done(held_engine_t *held, conn_t *asker, ask_id_t id);
+void held_engine_want(held_engine_t *held, const char *adapter,
+		      int64_t version);
+/* The connection of an asker is gone. */
+void held_engine_forget(held_engine_t *held, conn_t *asker);
 
 /* adapters_peers.c: talk with the other instances. */
 void adapters_peers_begin(adapters_t *adapters, GBytes *key);
 void adapters_peers_instance(adapters_t *adapters, const char *instance,
 			     const char *record);
-gboolean adapters_peers_want(adapters_t *adapters, const char *holder,
-			     const char *engine, const char *adapter,
-			     int64_t version);
-/* kind: what became of the adapter. */
-typedef enum {
-	NEWS_READY = 1,
-	NEWS_DROPPED,
-	NEWS_REFUSED,
-	NEWS_WANT,
-	NEWS_USED
-} news_kind_t;
-void adapters_tell(adapters_t *adapters, conn_t *subscriber, news_kind_t kind,
-		   const char *engine, const char *adapter, int64_t version);
-void adapters_peers_flush_used(adapters_t *adapters);
+void asked_free(gpointer data);
+/* asker: a connection, or NULL for this instance. */
+void adapters_answer(adapters_t *adapters, conn_t *asker,
+		     const holder_news_t *news);
 
 #endif
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -19,11 +19,23 @@
 /* Time to come back when an endpoint was full, or an adapter had no room. */
 #define RETRY_FULL_MS 250
 
-/* Engines that are asked to bring an adapter before the request is refused. */
-#define LOADS_MAX 3
+/* Engines whose holders are asked before the request is refused. */
+#define ASKS_MAX 3
 
-/* A want is sent again if nothing was heard of it for so long. */
-#define WANT_AGAIN_MS 5000
+/* A holder answers at once, be it that the request has to wait. */
+#define ASK_ANSWER_MS 250
+/* A load and the wait for a place are over, or refused, within this time. */
+#define ASK_WAIT_MAX_MS 4500
+
+/* Left of the goal for the engine itself. */
+#define GOAL_RESERVE_MS 150
+/* A request may wait so long for its place in any case. */
+#define WAIT_MIN_MS 100
+/* The last engine that is asked: part of the time left. */
+#define LAST_WAIT_PART 3
+
+/* An adapter for a further engine is wanted no more often than this. */
+#define WANT_AGAIN_MS 3000
 
 #define STATUS_NOT_FOUND   404
 #define STATUS_TIMEOUT	   408
@@ -34,7 +46,7 @@
 #define STATUS_TOO_LATE	   504
 
 typedef enum {
-	FORWARD_LOADING, /* waits for an adapter */
+	FORWARD_WAITING, /* for the engine's holder */
 	FORWARD_SENT,	 /* at an endpoint */
 	FORWARD_OVER
 } forward_state_t;
@@ -55,10 +67,14 @@
 	forward_state_t state;
 	fleet_endpoint_t *endpoint; /* where it is, or waits for its adapter */
 	exchange_t *exchange;
-	GPtrArray *tried; /* fleet_endpoint_t that it does not go to again */
-	guint loads;	  /* engines that were asked for the adapter */
-	guint sends;	  /* endpoints that it was sent to */
-	guint arrivals;	  /* times that it was sent */
+	GPtrArray *tried;    /* fleet_endpoint_t that it does not go to again */
+	ask_id_t ask;	     /* at the holder of the engine; 0 for none */
+	gboolean is_queued;  /* the holder said that it has to wait */
+	gboolean is_missing; /* the engine lacked the adapter */
+	guint asks;	     /* holders that were asked */
+	ms_t retry_after;    /* the soonest that a holder said; 0 for none */
+	guint sends;	     /* endpoints that it was sent to */
+	guint arrivals;	     /* times that it was sent */
 	gboolean may_have_run;
 	gboolean is_begun; /* the caller has the head of an answer */
 	const http1_head_t *head;
@@ -66,8 +82,8 @@
 	GByteArray *held;
 	GString *event;	  /* a part of an event, of a resumable stream */
 	char *last_event; /* that the caller has */
-	ms_t load_since;
-	ms_t load_wait; /* for adapters, in all */
+	ms_t asked_at;
+	ms_t wait; /* for holders, in all */
 	ms_t sent_at;
 	ms_t first_byte; /* after its arrival; 0 before */
 	ms_t data_at;	 /* when the last part of the answer came */
@@ -96,8 +112,18 @@
 	g_free(forward);
 }
 
+static void end_ask(forward_t *forward)
+{
+	if (!forward->ask)
+		return;
+	g_hash_table_remove(forward->front->asks, &forward->ask);
+	adapters_done(forward->front->adapters, forward->ask);
+	forward->ask = 0;
+}
+
 static void leave_endpoint(forward_t *forward)
 {
+	end_ask(forward);
 	if (!forward->endpoint)
 		return;
 	if (forward->state == FORWARD_SENT)
@@ -126,7 +152,7 @@
 	log_info("request", "id", forward->fields.id, "route",
 		 forward->route->name, "outcome", outcome, "status",
 		 number(&room[0], status), "ms", number(&room[1], took),
-		 "load_ms", number(&room[2], forward->load_wait), "first_ms",
+		 "wait_ms", number(&room[2], forward->wait), "first_ms",
 		 number(&room[3], forward->first_byte), "gap_ms",
 		 number(&room[6], forward->gap), "sends",
 		 number(&room[4], forward->arrivals), "endpoint",
@@ -180,9 +206,10 @@
 		forward_answer(forward, STATUS_BAD_GATEWAY, 0,
 			       "an endpoint did not answer\n");
 	else
-		forward_answer(forward, STATUS_UNAVAILABLE,
-			       spread(forward, retry_after),
-			       "no endpoint can take the request now\n");
+		forward_answer(
+			forward, STATUS_UNAVAILABLE,
+			spread(forward, MAX(retry_after, forward->retry_after)),
+			"no endpoint can take the request now\n");
 }
 
 static void forward_break(forward_t *forward)
@@ -233,7 +260,7 @@
 		g_ptr_array_add(forward->tried,
 				fleet_endpoint_ref(forward->endpoint));
 	leave_endpoint(forward);
-	forward->state = FORWARD_LOADING;
+	forward->state = FORWARD_WAITING;
 	if (retry_manner(&failed) == RETRY_FORBIDDEN) {
 		forward_fail(forward);
 		return;
@@ -290,8 +317,7 @@
 	if (forward->is_begun)
 		return;
 	forward->is_begun = TRUE;
-	forward->first_byte =
-		now_of(forward) - call_arrived_at(forward->call);
+	forward->first_byte = now_of(forward) - call_arrived_at(forward->call);
 	histogram_add(front->first_byte_time, forward->first_byte);
 	call_begin(forward->call, forward->head, size);
 }
@@ -400,6 +426,7 @@
 		fleet_endpoint_set_adapter(forward->endpoint, forward->adapter,
 					   0);
 	forward->why = "not resident there";
+	forward->is_missing = TRUE;
 	/* It goes to the same endpoint again. */
 	forward->sends--;
 	forward_again(forward, OUTCOME_NOT_RUN,
@@ -500,39 +527,66 @@
 	return forward->sent_at + PATIENCE_GOALS * forward->route->goal;
 }
 
-static void on_timer(uv_timer_t *timer)
+/* When the wait for the holder is given up. */
+static ms_t ask_ends(const forward_t *forward)
 {
-	forward_t *forward = timer->data;
-	ms_t now = now_of(forward);
+	if (forward->state != FORWARD_WAITING || !forward->ask)
+		return MS_NEVER;
+	return forward->asked_at +
+	       (forward->is_queued ? ASK_WAIT_MAX_MS : ASK_ANSWER_MS);
+}
 
-	if (now < forward->ends_at) {
-		if (now >= patience_ends(forward)) {
-			exchange_cancel(forward->exchange);
-			forward->exchange = NULL;
-			forward->why = "no answer in time";
-			fleet_endpoint_note_failure(forward->endpoint, now);
-			forward_again(forward, OUTCOME_UNKNOWN, ERROR_TIMEOUT);
-		} else {
-			set_timer(forward);
-		}
-		return;
-	}
-	forward->why = forward->state == FORWARD_SENT ? "route timeout"
-						      : "adapter came too late";
+/* The engine that was asked for is not to be had: ask for another. */
+static void ask_elsewhere(forward_t *forward)
+{
+	forward->wait += now_of(forward) - forward->asked_at;
+	g_ptr_array_add(forward->tried, fleet_endpoint_ref(forward->endpoint));
+	leave_endpoint(forward);
+	forward_try(forward);
+}
+
+static void time_is_over(forward_t *forward)
+{
+	gboolean was_sent = forward->state == FORWARD_SENT;
+
+	forward->why = was_sent ? "route timeout" : "no place in time";
 	if (forward->is_begun)
 		forward_break(forward);
-	else if (forward->state == FORWARD_SENT || forward->may_have_run)
+	else if (was_sent || forward->may_have_run)
 		forward_answer(forward, STATUS_TOO_LATE, 0,
 			       "no answer within the time allowed\n");
 	else
 		forward_refuse(forward, RETRY_FULL_MS);
 }
 
+static void on_timer(uv_timer_t *timer)
+{
+	forward_t *forward = timer->data;
+	ms_t now = now_of(forward);
+
+	if (now >= forward->ends_at) {
+		time_is_over(forward);
+	} else if (now >= patience_ends(forward)) {
+		exchange_cancel(forward->exchange);
+		forward->exchange = NULL;
+		forward->why = "no answer in time";
+		fleet_endpoint_note_failure(forward->endpoint, now);
+		forward_again(forward, OUTCOME_UNKNOWN, ERROR_TIMEOUT);
+	} else if (now >= ask_ends(forward)) {
+		forward->why = "the engine's holder is silent";
+		ask_elsewhere(forward);
+	} else {
+		set_timer(forward);
+	}
+}
+
 static void set_timer(forward_t *forward)
 {
 	ms_t next = MIN(forward->ends_at, patience_ends(forward));
-	ms_t wait = next - now_of(forward);
+	ms_t wait;
 
+	next = MIN(next, ask_ends(forward));
+	wait = next - now_of(forward);
 	uv_timer_start(&forward->timer, on_timer, (uint64_t)MAX(wait, 0), 0);
 }
 
@@ -568,9 +622,6 @@
 	forward->state = FORWARD_SENT;
 	forward->sent_at = now;
 	fleet_endpoint_begin(endpoint);
-	if (forward->adapter)
-		adapters_used(front->adapters, fleet_endpoint_id(endpoint),
-			      forward->adapter);
 	forward->exchange = links_send(front->links, endpoint, text,
 				       !strcmp(head->method, "HEAD"),
 				       &link_events, forward);
@@ -584,19 +635,17 @@
 	return version ? *version : 0;
 }
 
-/* One want for all requests that wait. */
-static void want(front_t *front, const fleet_endpoint_t *engine,
-		 const char *adapter)
+/* Have a hot adapter brought to one more engine. */
+static void want_replica(front_t *front, const fleet_endpoint_t *engine,
+			 const char *adapter)
 {
-	char *key = g_strconcat(fleet_endpoint_id(engine), " ", adapter, NULL);
 	ms_t now = ms_clock_now(front->clock);
-	const ms_t *asked = g_hash_table_lookup(front->wants, key);
+	const ms_t *last = g_hash_table_lookup(front->wants, adapter);
 
-	if (asked && now - *asked < WANT_AGAIN_MS) {
-		g_free(key);
+	if (last && now - *last < WANT_AGAIN_MS)
 		return;
-	}
-	g_hash_table_insert(front->wants, key, g_memdup2(&now, sizeof(now)));
+	g_hash_table_insert(front->wants, g_strdup(adapter),
+			    g_memdup2(&now, sizeof(now)));
 	adapters_want(front->adapters, fleet_endpoint_id(engine), adapter,
 		      declared_version(front, adapter));
 }
@@ -605,7 +654,58 @@
 {
 	const front_t *front = ctx;
 
-	return adapters_may_load(front->adapters, fleet_endpoint_id(endpoint));
+	return adapters_can_ask(front->adapters, fleet_endpoint_id(endpoint));
+}
+
+/* How long the request may wait for its place at an engine. */
+static ms_t wait_max(const forward_t *forward, ms_t now)
+{
+	ms_t passed = now - call_arrived_at(forward->call);
+	ms_t wait = forward->route->goal - passed - GOAL_RESERVE_MS;
+
+	wait = MAX(wait, WAIT_MIN_MS);
+	if (forward->asks >= ASKS_MAX)
+		wait = MAX(wait, (forward->ends_at - now) / LAST_WAIT_PART);
+	return wait;
+}
+
+static void forward_ask(forward_t *forward, ms_t now)
+{
+	front_t *front = forward->front;
+	ask_t ask = {
+		.engine = fleet_endpoint_id(forward->endpoint),
+		.adapter = forward->adapter,
+		.version = forward->adapter
+				   ? declared_version(front, forward->adapter)
+				   : 0,
+		.is_missing = forward->is_missing,
+		.request = {.prompt = forward->fields.tokens_in,
+			    .priority = forward->route->priority},
+	};
+
+	forward->asks++;
+	ask.request.wait_max = wait_max(forward, now);
+	forward->state = FORWARD_WAITING;
+	forward->asked_at = now;
+	forward->is_queued = FALSE;
+	forward->is_missing = FALSE;
+	forward->ask = adapters_ask(front->adapters, &ask);
+	g_hash_table_insert(front->asks,
+			    g_memdup2(&forward->ask, sizeof(forward->ask)),
+			    forward);
+	set_timer(forward);
+}
+
+static void no_endpoint(forward_t *forward)
+{
+	if (!forward->why)
+		forward->why = "no endpoint";
+	if (forward->is_begun)
+		forward_break(forward);
+	else
+		forward_refuse(forward, forward->retry_after
+						? RETRY_FULL_MS
+						: RETRY_NOWHERE_MS);
 }
 
 static void forward_try(forward_t *forward)
@@ -623,125 +723,91 @@
 		.may_load = may_load,
 		.ctx = front,
 	};
-	fleet_choice_t choice;
+	fleet_choice_t choice = {0};
 
-	fleet_choose(front->fleet, now, &query, &choice);
+	if (forward->asks < ASKS_MAX)
+		fleet_choose(front->fleet, now, &query, &choice);
 	if (!choice.endpoint) {
-		if (!forward->why)
-			forward->why = "no endpoint";
-		if (forward->is_begun)
-			forward_break(forward);
-		else
-			forward_refuse(forward, RETRY_NOWHERE_MS);
+		no_endpoint(forward);
 		return;
 	}
 	forward->endpoint = fleet_endpoint_ref(choice.endpoint);
 	if (choice.replica)
-		want(front, choice.replica, forward->adapter);
-	if (choice.is_resident) {
+		want_replica(front, choice.replica, forward->adapter);
+	if (forward->model && may_load(front, choice.endpoint))
+		forward_ask(forward, now);
+	else
 		forward_send(forward);
-		return;
-	}
-	if (forward->loads++ >= LOADS_MAX) {
-		forward->why = "no room for the adapter";
-		forward_refuse(forward, RETRY_FULL_MS);
-		return;
-	}
-	forward->state = FORWARD_LOADING;
-	forward->load_since = now;
-	set_timer(forward);
-	want(front, choice.endpoint, forward->adapter);
-}
-
-static gboolean waits_for(const forward_t *forward, const char *engine,
-			  const char *adapter)
-{
-	return forward->state == FORWARD_LOADING && forward->endpoint &&
-	       forward->adapter &&
-	       !strcmp(fleet_endpoint_id(forward->endpoint), engine) &&
-	       (!adapter || !strcmp(forward->adapter, adapter));
 }
 
-/* The requests that wait there; what is done with one may end others. */
-static GPtrArray *waiting(front_t *front, const char *engine,
-			  const char *adapter)
+static forward_t *find_ask(front_t *front, ask_id_t ask)
 {
-	GPtrArray *list = g_ptr_array_new();
-	forward_t *forward;
-
-	TAILQ_FOREACH (forward, &front->forwards, link) {
-		if (waits_for(forward, engine, adapter))
-			g_ptr_array_add(list, forward);
-	}
-	return list;
+	return g_hash_table_lookup(front->asks, &ask);
 }
 
-static void forget_want(front_t *front, const char *engine, const char *adapter)
+void forward_wait(front_t *front, ask_id_t ask)
 {
-	char *key = g_strconcat(engine, " ", adapter, NULL);
+	forward_t *forward = find_ask(front, ask);
 
-	g_hash_table_remove(front->wants, key);
-	g_free(key);
+	if (!forward || forward->state != FORWARD_WAITING)
+		return;
+	forward->is_queued = TRUE;
+	set_timer(forward);
 }
 
-void forward_adapter(front_t *front, const char *engine, const char *adapter,
-		     int64_t version)
+void forward_go(front_t *front, ask_id_t ask, int64_t version, int running)
 {
-	fleet_endpoint_t *endpoint = fleet_find(front->fleet, engine);
-	GPtrArray *list;
-	guint i;
+	forward_t *forward = find_ask(front, ask);
+	ms_t now = ms_clock_now(front->clock);
+	endpoint_load_t load = {.running = running};
 
-	forget_want(front, engine, adapter);
-	if (endpoint)
-		fleet_endpoint_set_adapter(endpoint, adapter, version);
-	list = waiting(front, engine, adapter);
-	for (i = 0; i < list->len; i++) {
-		forward_t *forward = list->pdata[i];
-
-		forward->load_wait += now_of(forward) - forward->load_since;
-		if (version)
-			histogram_add(front->load_wait_time,
-				      forward->load_wait);
-		if (version && fleet_endpoint_is_usable(forward->endpoint)) {
-			forward_send(forward);
-		} else {
-			leave_endpoint(forward);
-			forward_try(forward);
-		}
+	if (!forward || forward->state != FORWARD_WAITING)
+		return;
+	forward->wait += now - forward->asked_at;
+	histogram_add(front->load_wait_time, forward->wait);
+	if (forward->adapter)
+		fleet_endpoint_set_adapter(forward->endpoint, forward->adapter,
+					   version);
+	if (!fleet_endpoint_is_usable(forward->endpoint)) {
+		ask_elsewhere(forward);
+		return;
 	}
-	g_ptr_array_free(list, TRUE);
+	forward_send(forward);
+	load.places = fleet_endpoint_places(forward->endpoint);
+	fleet_endpoint_note_load(forward->endpoint, now, &load);
 }
 
-void forward_refused(front_t *front, const char *engine, const char *adapter)
+void forward_refused(front_t *front, ask_id_t ask, ms_t retry_after)
 {
-	GPtrArray *list = waiting(front, engine, adapter);
-	guint i;
+	forward_t *forward = find_ask(front, ask);
 
-	if (adapter)
-		forget_want(front, engine, adapter);
-	for (i = 0; i < list->len; i++) {
-		forward_t *forward = list->pdata[i];
-
-		if (!adapter)
-			forget_want(front, engine, forward->adapter);
-		g_ptr_array_add(forward->tried,
-				fleet_endpoint_ref(forward->endpoint));
-		leave_endpoint(forward);
-		forward_try(forward);
-	}
-	g_ptr_array_free(list, TRUE);
+	if (!forward)
+		return;
+	g_hash_table_remove(front->asks, &ask);
+	forward->ask = 0;
+	if (forward->state != FORWARD_WAITING)
+		return;
+	if (retry_after &&
+	    (!forward->retry_after || retry_after < forward->retry_after))
+		forward->retry_after = retry_after;
+	forward->why = "no room at the engine";
+	ask_elsewhere(forward);
 }
 
-void forward_tell_used(front_t *front)
+void forward_endpoint_gone(front_t *front, const char *id)
 {
-	const forward_t *forward;
+	GPtrArray *list = g_ptr_array_new();
+	forward_t *forward;
+	guint i;
 
 	TAILQ_FOREACH (forward, &front->forwards, link) {
-		if (forward->state == FORWARD_SENT && forward->adapter)
-			adapters_used(front->adapters,
-				      fleet_endpoint_id(forward->endpoint),
-				      forward->adapter);
+		if (forward->state == FORWARD_WAITING && forward->endpoint &&
+		    !strcmp(fleet_endpoint_id(forward->endpoint), id))
+			g_ptr_array_add(list, forward);
 	}
+	for (i = 0; i < list->len; i++)
+		ask_elsewhere(list->pdata[i]);
+	g_ptr_array_free(list, TRUE);
 }
 
 /* "model/adapter", or "model" alone. */
@@ -777,7 +843,7 @@
 				 (forward->is_stream && route->is_resumable);
 	time = MIN(route->timeout, forward->fields.deadline);
 	forward->ends_at = call_arrived_at(call) + time;
-	forward->state = FORWARD_LOADING;
+	forward->state = FORWARD_WAITING;
 	forward->tried = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)fleet_endpoint_unref);
 	forward->held = g_byte_array_new();
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -64,6 +64,12 @@
 		 3600},
 		{"repeat_slack", SETTING_INT, &at->repeat_slack, "10", 0,
 		 1000000},
+		{"adapter_load_ms", SETTING_INT, &at->adapter_load_ms, "250", 1,
+		 60000},
+		{"adapter_again_ms", SETTING_INT, &at->adapter_again_ms, "25",
+		 1, 60000},
+		{"prefill_per_s", SETTING_INT, &at->prefill_per_s, "38700", 1,
+		 100000000},
 		{"log_lines_max", SETTING_INT, &at->log_lines_max, "200", 1,
 		 100000},
 		{NULL, SETTING_INT, NULL, NULL, 0, 0}};
@@ -144,7 +150,7 @@
 	log_info("endpoint gone", "endpoint", id, NULL);
 	fleet_remove(front->fleet, id);
 	adapters_set_engine(front->adapters, id, FALSE);
-	forward_refused(front, id, NULL);
+	forward_endpoint_gone(front, id);
 }
 
 static void endpoint_is_gone(front_t *front, const char *id)
@@ -193,7 +199,7 @@
 	decoded_endpoint_release(&decoded);
 	if (endpoint != former ||
 	    (was_usable && !fleet_endpoint_is_usable(endpoint)))
-		forward_refused(front, id, NULL);
+		forward_endpoint_gone(front, id);
 }
 
 static void take_version(front_t *front, const kv_item_t *item)
@@ -260,29 +266,38 @@
 		front->store_back_at = ms_clock_now(front->clock);
 }
 
-static void on_adapter(void *ctx, const char *engine, const char *adapter,
-		       int64_t version)
+static void on_go(void *ctx, ask_id_t ask, int64_t version, int running)
 {
-	forward_adapter(ctx, engine, adapter, version);
+	forward_go(ctx, ask, version, running);
 }
 
-static void on_refused(void *ctx, const char *engine, const char *adapter)
+static void on_wait(void *ctx, ask_id_t ask)
 {
-	forward_refused(ctx, engine, adapter);
+	forward_wait(ctx, ask);
 }
 
-static int slots_of(void *ctx, const fleet_endpoint_t *engine,
-		    const char **model)
+static void on_refused(void *ctx, ask_id_t ask, ms_t retry_after)
+{
+	forward_refused(ctx, ask, retry_after);
+}
+
+static void on_dropped(void *ctx, const char *engine, const char *adapter)
 {
 	front_t *front = ctx;
-	const service_t *service =
-		front->routes
-			? route_table_service(front->routes,
-					      fleet_endpoint_service(engine))
-			: NULL;
+	fleet_endpoint_t *endpoint = fleet_find(front->fleet, engine);
+
+	if (endpoint)
+		fleet_endpoint_set_adapter(endpoint, adapter, 0);
+}
+
+static const service_t *service_of(void *ctx, const fleet_endpoint_t *engine)
+{
+	const front_t *front = ctx;
 
-	*model = service ? service->model : NULL;
-	return service ? service->adapter_slots : 0;
+	if (!front->routes)
+		return NULL;
+	return route_table_service(front->routes,
+				   fleet_endpoint_service(engine));
 }
 
 static int64_t declared_of(void *ctx, const char *adapter)
@@ -329,7 +344,6 @@
 	ms_t changed_at = settings_time(front);
 
 	drop_lapsed(front, ms_clock_now(front->clock));
-	forward_tell_used(front);
 	share_connections(front);
 	if (changed_at && changed_at != front->settings_changed_at)
 		front_reload(front);
@@ -462,8 +476,14 @@
 
 static void create_adapters(front_t *front)
 {
-	static const adapters_events_t events = {on_adapter, on_refused,
-						 slots_of, declared_of};
+	static const adapters_events_t events = {
+		.on_go = on_go,
+		.on_wait = on_wait,
+		.on_refused = on_refused,
+		.on_dropped = on_dropped,
+		.service = service_of,
+		.declared = declared_of,
+	};
 	const process_settings_t *settings = process_settings(front->process);
 	adapters_options_t options = {
 		.listen_address = settings->address,
@@ -471,6 +491,10 @@
 		.order_gap = front->settings.order_gap_ms,
 		.lease_ttl = MAX(front->settings.lease_ttl_ms,
 				 front->settings.lease_ttl_min_ms),
+		.load_time = front->settings.adapter_load_ms,
+		.again_time = front->settings.adapter_again_ms,
+		.prefill_per_ms =
+			(double)front->settings.prefill_per_s / MS_PER_S,
 	};
 
 	front->adapters =
@@ -509,6 +533,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	front->wants =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	front->asks = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    NULL);
 	create_metrics(front);
 	front->fleet = fleet_create(process_settings(process)->failure_domain);
 	front->links = links_create(&links);
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -33,7 +33,10 @@
 	char *repeat_share;	  /* of the requests for a service */
 	int64_t repeat_window_s;
 	int64_t repeat_slack;
-	int64_t log_lines_max; /* of one event in a second */
+	int64_t adapter_load_ms;  /* from the store of weights */
+	int64_t adapter_again_ms; /* when the engine held it recently */
+	int64_t prefill_per_s;	  /* prompt tokens that an engine reads */
+	int64_t log_lines_max;	  /* of one event in a second */
 } front_settings_t;
 
 struct front {
@@ -60,7 +63,8 @@
 	ms_t stopped_at; /* 0 until the planned stop */
 	ms_t settings_changed_at;
 	struct forward_list forwards;
-	GHashTable *wants; /* "engine adapter" to the time it was asked */
+	GHashTable *wants; /* "engine adapter" to the time of the last want */
+	GHashTable *asks;  /* ask_id_t to the forward_t that waits */
 	counter_t *requests;
 	counter_t *answered;
 	counter_t *refused;
@@ -75,13 +79,12 @@
 void forward_begin(front_t *front, call_t *call);
 void forward_caller_gone(forward_t *forward);
 
-/* An adapter can be used at an engine (version 0: no longer), or can't be
- * brought there; adapter is NULL for all of them. */
-void forward_adapter(front_t *front, const char *engine, const char *adapter,
-		     int64_t version);
-void forward_refused(front_t *front, const char *engine, const char *adapter);
+/* What became of a question to the holder of an engine. */
+void forward_go(front_t *front, ask_id_t ask, int64_t version, int running);
+void forward_wait(front_t *front, ask_id_t ask);
+void forward_refused(front_t *front, ask_id_t ask, ms_t retry_after);
 
-/* Tell the holders what requests use. */
-void forward_tell_used(front_t *front);
+/* An endpoint takes no more requests: what waits for it goes elsewhere. */
+void forward_endpoint_gone(front_t *front, const char *id);
 
 #endif
--- a/lib/hold/adapter_cache.c
+++ b/lib/hold/adapter_cache.c
@@ -18,8 +18,12 @@
 	int64_t wanted;	 /* the oldest version that will do */
 	gboolean is_wanted;
 	ms_t wanted_since;
-	gboolean was_used;
+	int uses; /* requests that use it */
 	ms_t used_at;
+	int64_t loading;      /* the version that a load fetches */
+	ms_t ready_at;	      /* of a load: when it is presumed to be done */
+	gboolean is_presumed; /* resident, and not yet seen in a report */
+	ms_t presumed_at;
 } entry_t;
 
 TAILQ_HEAD(entry_list, entry);
@@ -27,8 +31,9 @@
 struct adapter_cache {
 	cache_actions_t actions;
 	void *ctx;
-	int slot_count;
+	cache_options_t options;
 	GHashTable *table; /* adapter to entry_t */
+	GQueue *at_hand;   /* names that the engine held, the newest first */
 	struct entry_list entries;
 	gboolean is_known; /* a report was read */
 	gboolean has_model;
@@ -39,18 +44,20 @@
 	cache_order_kind_t order_kind;
 	entry_t *ordered; /* NULL for a base model */
 	gboolean is_report_open;
+	gboolean is_look_due; /* what is known is in doubt */
 	ms_t report_at;
 	ms_t order_at; /* no order before */
 };
 
-adapter_cache_t *adapter_cache_create(int slot_count,
+adapter_cache_t *adapter_cache_create(const cache_options_t *options,
 				      const cache_actions_t *actions, void *ctx)
 {
 	adapter_cache_t *cache = g_new0(adapter_cache_t, 1);
 
 	cache->actions = *actions;
 	cache->ctx = ctx;
-	cache->slot_count = slot_count;
+	cache->options = *options;
+	cache->at_hand = g_queue_new();
 	cache->table = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&cache->entries);
 	return cache;
@@ -71,12 +78,40 @@
 	while ((entry = TAILQ_FIRST(&cache->entries)))
 		entry_free(cache, entry);
 	g_hash_table_destroy(cache->table);
+	g_queue_free_full(cache->at_hand, g_free);
 	g_free(cache);
 }
 
-void adapter_cache_set_slots(adapter_cache_t *cache, int slot_count)
+void adapter_cache_set_options(adapter_cache_t *cache,
+			       const cache_options_t *options)
 {
-	cache->slot_count = slot_count;
+	cache->options.slot_count = options->slot_count;
+}
+
+static GList *find_at_hand(const adapter_cache_t *cache, const char *adapter)
+{
+	return g_queue_find_custom(cache->at_hand, adapter,
+				   (GCompareFunc)strcmp);
+}
+
+static void remember_at_hand(adapter_cache_t *cache, const char *adapter)
+{
+	GList *at = find_at_hand(cache, adapter);
+
+	if (at) {
+		g_queue_unlink(cache->at_hand, at);
+		g_queue_push_head_link(cache->at_hand, at);
+		return;
+	}
+	g_queue_push_head(cache->at_hand, g_strdup(adapter));
+	if (g_queue_get_length(cache->at_hand) > CACHE_AT_HAND_MAX)
+		g_free(g_queue_pop_tail(cache->at_hand));
+}
+
+static ms_t *load_time(adapter_cache_t *cache, const char *adapter)
+{
+	return find_at_hand(cache, adapter) ? &cache->options.again_time
+					    : &cache->options.load_time;
 }
 
 static entry_t *entry_get(adapter_cache_t *cache, const char *adapter)
@@ -95,7 +130,7 @@
 /* An absent adapter that nobody wants and that no order names. */
 static void entry_release(adapter_cache_t *cache, entry_t *entry)
 {
-	if (entry->state == STATE_ABSENT && !entry->is_wanted &&
+	if (entry->state == STATE_ABSENT && !entry->is_wanted && !entry->uses &&
 	    entry != cache->ordered)
 		entry_free(cache, entry);
 }
@@ -121,7 +156,6 @@
 	entry_t *entry = entry_get(cache, adapter);
 
 	entry->wanted = MAX(entry->wanted, version);
-	entry->was_used = TRUE;
 	entry->used_at = now;
 	if (is_usable(entry)) {
 		*resident = entry->version;
@@ -131,14 +165,51 @@
 	return FALSE;
 }
 
-void adapter_cache_touch(adapter_cache_t *cache, ms_t now, const char *adapter)
+int64_t adapter_cache_version(const adapter_cache_t *cache, const char *adapter)
+{
+	const entry_t *entry = g_hash_table_lookup(cache->table, adapter);
+
+	return entry && is_usable(entry) ? entry->version : 0;
+}
+
+static void look_soon(adapter_cache_t *cache, ms_t now, ms_t delay)
+{
+	cache->report_at = now + delay;
+}
+
+void adapter_cache_use(adapter_cache_t *cache, ms_t now, const char *adapter)
+{
+	entry_t *entry = entry_get(cache, adapter);
+
+	entry->uses++;
+	entry->used_at = now;
+}
+
+void adapter_cache_release(adapter_cache_t *cache, ms_t now,
+			   const char *adapter)
 {
 	entry_t *entry = g_hash_table_lookup(cache->table, adapter);
 
-	if (!entry)
-		return;
-	entry->was_used = TRUE;
+	g_assert(entry && entry->uses > 0);
+	entry->uses--;
 	entry->used_at = now;
+	entry_release(cache, entry);
+}
+
+void adapter_cache_missing(adapter_cache_t *cache, ms_t now,
+			   const char *adapter)
+{
+	entry_t *entry = g_hash_table_lookup(cache->table, adapter);
+
+	if (!entry || entry->state != STATE_RESIDENT)
+		return;
+	if (entry->is_presumed) {
+		*load_time(cache, adapter) += CACHE_LATE_MS / 4;
+		entry->state = STATE_LOADING;
+		entry->ready_at = now + CACHE_LATE_MS;
+	}
+	cache->is_look_due = TRUE;
+	look_soon(cache, now, 0);
 }
 
 void adapter_cache_declare(adapter_cache_t *cache, ms_t now,
@@ -147,6 +218,13 @@
 	entry_t *entry = g_hash_table_lookup(cache->table, adapter);
 	gboolean was_usable;
 
+	/* What the engine keeps at hand is of the older version. */
+	if (find_at_hand(cache, adapter)) {
+		GList *at = find_at_hand(cache, adapter);
+
+		g_free(at->data);
+		g_queue_delete_link(cache->at_hand, at);
+	}
 	if (!entry || version <= entry->wanted)
 		return;
 	was_usable = is_usable(entry);
@@ -157,12 +235,7 @@
 	want(entry, now);
 }
 
-static void look_soon(adapter_cache_t *cache, ms_t now, ms_t delay)
-{
-	cache->report_at = now + delay;
-}
-
-static void order_took_effect(adapter_cache_t *cache)
+static void order_took_effect(adapter_cache_t *cache, ms_t now)
 {
 	entry_t *entry = cache->ordered;
 
@@ -170,10 +243,13 @@
 		cache->is_busy = TRUE;
 		return;
 	}
-	if (cache->order_kind == CACHE_ORDER_LOAD)
+	if (cache->order_kind == CACHE_ORDER_LOAD) {
 		entry->state = STATE_LOADING;
-	else
+		entry->loading = MAX(entry->wanted, 1);
+		entry->ready_at = now + *load_time(cache, entry->adapter);
+	} else {
 		entry->state = STATE_UNLOADING;
+	}
 }
 
 static void order_is_settled(adapter_cache_t *cache)
@@ -198,6 +274,7 @@
 	if (is_usable(entry))
 		cache->actions.dropped(cache->ctx, entry->adapter);
 	entry->state = STATE_ABSENT;
+	entry->is_presumed = FALSE;
 	entry->version = 0;
 }
 
@@ -209,7 +286,7 @@
 	switch (answer) {
 	case CACHE_ANSWER_ACCEPTED:
 		cache->sequence++;
-		order_took_effect(cache);
+		order_took_effect(cache, now);
 		look_soon(cache, now, CACHE_POLL_MS);
 		order_is_settled(cache);
 		break;
@@ -218,7 +295,7 @@
 			cache->sequence++;
 			entry_is_gone(cache, cache->ordered);
 		} else {
-			order_took_effect(cache);
+			order_took_effect(cache, now);
 			look_soon(cache, now, 0);
 		}
 		order_is_settled(cache);
@@ -232,7 +309,7 @@
 	case CACHE_ANSWER_STALE:
 	case CACHE_ANSWER_UNKNOWN:
 		cache->is_in_doubt = TRUE;
-		cache->order_at = now + CACHE_POLL_MS;
+		cache->order_at = now + CACHE_AGAIN_MS;
 		look_soon(cache, now, 0);
 		break;
 	}
@@ -245,10 +322,7 @@
 
 	entry->state = STATE_RESIDENT;
 	entry->version = version;
-	if (!entry->was_used) {
-		entry->was_used = TRUE;
-		entry->used_at = now - CACHE_IN_USE_MS;
-	}
+	remember_at_hand(cache, entry->adapter);
 	if (!is_usable(entry))
 		return;
 	if (entry->is_wanted || !was_usable)
@@ -291,9 +365,17 @@
 			entry_is_gone(cache, entry);
 			entry_release(cache, entry);
 		} else if (seen->is_coming) {
-			if (entry->state != STATE_UNLOADING)
+			gboolean is_newer =
+				entry->is_presumed &&
+				now - entry->presumed_at < CACHE_REPORT_LAG_MS;
+
+			if (entry->state == STATE_ABSENT ||
+			    (entry->state == STATE_RESIDENT && !is_newer)) {
 				entry->state = STATE_LOADING;
+				entry->ready_at = now + CACHE_LATE_MS;
+			}
 		} else if (entry->state != STATE_UNLOADING) {
+			entry->is_presumed = FALSE;
 			entry_is_ready(cache, now, entry,
 				       MAX(seen->version, 1));
 		}
@@ -316,6 +398,7 @@
 			  const cache_report_t *report)
 {
 	cache->is_report_open = FALSE;
+	cache->is_look_due = FALSE;
 	cache->report_at = now + CACHE_POLL_MS;
 	if (!report)
 		return;
@@ -385,14 +468,14 @@
 	return best;
 }
 
-static entry_t *next_victim(const adapter_cache_t *cache, ms_t now)
+static entry_t *next_victim(const adapter_cache_t *cache)
 {
 	entry_t *best = NULL;
 	entry_t *entry;
 
 	TAILQ_FOREACH (entry, &cache->entries, link) {
 		if (entry->state != STATE_RESIDENT || entry->is_wanted ||
-		    now - entry->used_at < CACHE_IN_USE_MS)
+		    entry->uses)
 			continue;
 		if (!best || entry->used_at < best->used_at)
 			best = entry;
@@ -434,7 +517,7 @@
 
 static void make_room(adapter_cache_t *cache, ms_t now, entry_t *for_entry)
 {
-	entry_t *victim = next_victim(cache, now);
+	entry_t *victim = next_victim(cache);
 
 	if (!victim) {
 		if (!is_unloading(cache))
@@ -466,8 +549,9 @@
 	if (coming >= CACHE_COMING_MAX)
 		return;
 	/* A newer version takes the slot of the older one. */
-	if (entry->state == STATE_RESIDENT || taken < cache->slot_count) {
-		g_assert(taken <= cache->slot_count ||
+	if (entry->state == STATE_RESIDENT ||
+	    taken < cache->options.slot_count) {
+		g_assert(taken <= cache->options.slot_count ||
 			 entry->state == STATE_RESIDENT);
 		begin_order(cache, CACHE_ORDER_LOAD, entry);
 	} else {
@@ -481,15 +565,31 @@
 
 	if (cache->is_report_open || now < cache->report_at)
 		return FALSE;
-	if (!cache->is_known || cache->is_in_doubt || cache->is_busy)
+	if (!cache->is_known || cache->is_in_doubt || cache->is_busy ||
+	    cache->is_look_due)
 		return TRUE;
 	slots_taken(cache, &coming);
 	return coming || is_unloading(cache) ||
 	       now - cache->report_at >= CACHE_IDLE_REPORT_MS;
 }
 
+/* Loads whose usual time has passed. */
+static void presume_ready(adapter_cache_t *cache, ms_t now)
+{
+	entry_t *entry;
+
+	TAILQ_FOREACH (entry, &cache->entries, link) {
+		if (entry->state != STATE_LOADING || now < entry->ready_at)
+			continue;
+		entry->is_presumed = TRUE;
+		entry->presumed_at = now;
+		entry_is_ready(cache, now, entry, MAX(entry->loading, 1));
+	}
+}
+
 void adapter_cache_tick(adapter_cache_t *cache, ms_t now, gboolean may_order)
 {
+	presume_ready(cache, now);
 	refuse_old_wants(cache, now);
 	if (wants_report(cache, now)) {
 		cache->is_report_open = TRUE;
--- a/lib/hold/adapter_cache.h
+++ b/lib/hold/adapter_cache.h
@@ -17,8 +17,12 @@
  *    exceed the slots of the engine;
  *  - dropped() precedes each order that takes a resident adapter away.
  *
- * The least recently used adapter makes room.  One that was in use less than
- * CACHE_IN_USE_MS ago stays; a want that finds no room is refused.
+ * The least recently used adapter makes room; one that is in use stays.  A want
+ * that finds no room is refused.
+ *
+ * Reports are some hundred ms old.  So an adapter is presumed usable once the
+ * usual time of a load has passed; adapter_cache_missing() says that it was
+ * not.
  *
  * Decision code: the time comes in with each call, actions go out through
  * callbacks, which must not call back.  Names of adapters are copied.
@@ -29,17 +33,26 @@
 
 #include "base/clock.h"
 
-/* Instances tell each half second what they use. */
-#define CACHE_IN_USE_MS 1300
-
 /* Adapters on their way to one engine at a time, from the platform's pages. */
 #define CACHE_COMING_MAX 4
 
 /* A want that was not met by then is refused. */
 #define CACHE_WANT_MS 4000
 
-/* Between reports while a load is under way; a report is 100 ms old. */
-#define CACHE_POLL_MS 60
+/* Between reports while orders are under way or in doubt. */
+#define CACHE_POLL_MS 250
+
+/* How old a report may be. */
+#define CACHE_REPORT_LAG_MS 400
+
+/* After an order without an answer, until it is sent again. */
+#define CACHE_AGAIN_MS 60
+
+/* Adapters that an engine keeps at hand after they were unloaded. */
+#define CACHE_AT_HAND_MAX 150
+
+/* What is added to the usual time of a load that was not done by then. */
+#define CACHE_LATE_MS 40
 
 /* Between reports while nothing is under way. */
 #define CACHE_IDLE_REPORT_MS 5000
@@ -95,12 +108,20 @@
 	void (*refused)(void *ctx, const char *adapter);
 } cache_actions_t;
 
-adapter_cache_t *
-adapter_cache_create(int slot_count, const cache_actions_t *actions, void *ctx);
+typedef struct {
+	int slot_count;	 /* adapters that the engine holds at once */
+	ms_t load_time;	 /* of an adapter from the store of weights */
+	ms_t again_time; /* of one that the engine held recently */
+} cache_options_t;
+
+adapter_cache_t *adapter_cache_create(const cache_options_t *options,
+				      const cache_actions_t *actions,
+				      void *ctx);
 void adapter_cache_destroy(adapter_cache_t *cache);
 
-/* Slots of a newer configuration. */
-void adapter_cache_set_slots(adapter_cache_t *cache, int slot_count);
+/* Those of a newer configuration. */
+void adapter_cache_set_options(adapter_cache_t *cache,
+			       const cache_options_t *options);
 
 /*
  * An instance wants the adapter in this version or a newer one.  TRUE if it is
@@ -111,8 +132,18 @@
 			    const char *adapter, int64_t version,
 			    int64_t *resident);
 
-/* Requests use the adapter. */
-void adapter_cache_touch(adapter_cache_t *cache, ms_t now, const char *adapter);
+/* The version that is usable now, or 0. */
+int64_t adapter_cache_version(const adapter_cache_t *cache,
+			      const char *adapter);
+
+/* A request uses the adapter until adapter_cache_release(). */
+void adapter_cache_use(adapter_cache_t *cache, ms_t now, const char *adapter);
+void adapter_cache_release(adapter_cache_t *cache, ms_t now,
+			   const char *adapter);
+
+/* The engine refused a request, as the adapter is not there. */
+void adapter_cache_missing(adapter_cache_t *cache, ms_t now,
+			   const char *adapter);
 
 /* A newer version was declared; an older one that is resident is replaced. */
 void adapter_cache_declare(adapter_cache_t *cache, ms_t now,
