--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -326,20 +326,23 @@
 	held->gate = gate_create(&gate, &gate_actions, held);
 }
 
-void held_engine_tick(held_engine_t *held, ms_t now)
+static gboolean may_order(const held_engine_t *held, ms_t now)
 {
-	adapters_t *adapters = held->adapters;
-	gboolean may_order;
+	const adapters_t *adapters = held->adapters;
+
+	return !adapters->is_stopping &&
+	       fleet_endpoint_is_usable(held->endpoint) &&
+	       holdings_may_order(adapters->holdings, now,
+				  lease_valid_until(adapters->lease), held->id);
+}
 
+void held_engine_tick(held_engine_t *held, ms_t now)
+{
 	follow_incarnation(held);
 	if (!held->cache)
 		return;
-	may_order = !adapters->is_stopping && !held->order &&
-		    fleet_endpoint_is_usable(held->endpoint) &&
-		    holdings_may_order(adapters->holdings, now,
-				       lease_valid_until(adapters->lease),
-				       held->id);
-	adapter_cache_tick(held->cache, now, may_order);
+	adapter_cache_tick(held->cache, now,
+			   !held->order && may_order(held, now));
 	move_asks(held, now);
 }
 
@@ -407,6 +410,11 @@
 			adapter_cache_missing(held->cache, now, ask->adapter);
 		held_engine_want(held, ask->adapter, question->version);
 	}
+	if (ask->adapter && !may_order(held, now) &&
+	    !adapter_cache_version(held->cache, ask->adapter)) {
+		ask_refuse(held, ask, now, 0);
+		return;
+	}
 	if (!ask->adapter || adapter_cache_version(held->cache, ask->adapter)) {
 		if (!ask_submit(held, ask, now))
 			return;
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -22,6 +22,9 @@
 /* Engines whose holders are asked before the request is refused. */
 #define ASKS_MAX 3
 
+/* Times that an engine may lack an adapter that its holder presumed there. */
+#define MISSES_MAX 4
+
 /* A holder answers at once, be it that the request has to wait. */
 #define ASK_ANSWER_MS 250
 /* A load and the wait for a place are over, or refused, within this time. */
@@ -31,6 +34,8 @@
 #define GOAL_RESERVE_MS 150
 /* A request may wait so long for its place in any case. */
 #define WAIT_MIN_MS 100
+/* The first engine that is asked: the longest wait for a place there. */
+#define FIRST_WAIT_MS 150
 /* The last engine that is asked: part of the time left. */
 #define LAST_WAIT_PART 3
 
@@ -72,6 +77,7 @@
 	gboolean is_queued;  /* the holder said that it has to wait */
 	gboolean is_missing; /* the engine lacked the adapter */
 	guint asks;	     /* holders that were asked */
+	guint misses;	     /* engines that lacked the adapter */
 	ms_t retry_after;    /* the soonest that a holder said; 0 for none */
 	guint sends;	     /* endpoints that it was sent to */
 	guint arrivals;	     /* times that it was sent */
@@ -664,6 +670,9 @@
 	ms_t wait = forward->route->goal - passed - GOAL_RESERVE_MS;
 
 	wait = MAX(wait, WAIT_MIN_MS);
+	/* Another engine may be less busy. */
+	if (forward->asks <= 1)
+		wait = MIN(wait, FIRST_WAIT_MS);
 	if (forward->asks >= ASKS_MAX)
 		wait = MAX(wait, (forward->ends_at - now) / LAST_WAIT_PART);
 	return wait;
@@ -683,7 +692,10 @@
 			    .priority = forward->route->priority},
 	};
 
-	forward->asks++;
+	if (forward->is_missing)
+		forward->misses++;
+	else
+		forward->asks++;
 	ask.request.wait_max = wait_max(forward, now);
 	forward->state = FORWARD_WAITING;
 	forward->asked_at = now;
@@ -725,7 +737,7 @@
 	};
 	fleet_choice_t choice = {0};
 
-	if (forward->asks < ASKS_MAX)
+	if (forward->asks < ASKS_MAX && forward->misses < MISSES_MAX)
 		fleet_choose(front->fleet, now, &query, &choice);
 	if (!choice.endpoint) {
 		no_endpoint(forward);
--- a/lib/hold/adapter_cache.c
+++ b/lib/hold/adapter_cache.c
@@ -38,7 +38,8 @@
 	gboolean is_known; /* a report was read */
 	gboolean has_model;
 	gboolean is_busy;
-	int64_t sequence;
+	int64_t sequence; /* orders that the engine has accepted */
+	ms_t accepted_at; /* when the last of them was */
 	gboolean is_order_open;
 	gboolean is_in_doubt; /* the last order may yet be carried out */
 	cache_order_kind_t order_kind;
@@ -286,6 +287,7 @@
 	switch (answer) {
 	case CACHE_ANSWER_ACCEPTED:
 		cache->sequence++;
+		cache->accepted_at = now;
 		order_took_effect(cache, now);
 		look_soon(cache, now, CACHE_POLL_MS);
 		order_is_settled(cache);
@@ -293,6 +295,7 @@
 	case CACHE_ANSWER_DONE:
 		if (cache->ordered && cache->order_kind == CACHE_ORDER_UNLOAD) {
 			cache->sequence++;
+			cache->accepted_at = now;
 			entry_is_gone(cache, cache->ordered);
 		} else {
 			order_took_effect(cache, now);
@@ -385,10 +388,11 @@
 /*
  * The number of accepted orders tells what became of an order in doubt: it was
  * carried out, or an older one was and made it void.  The report shows which.
+ * A lower number than was counted here makes the order void as well.
  */
 static void resolve_doubt(adapter_cache_t *cache, const cache_report_t *report)
 {
-	if (!cache->is_in_doubt || report->sequence <= cache->sequence)
+	if (!cache->is_in_doubt || report->sequence == cache->sequence)
 		return;
 	unload_is_void(cache);
 	order_is_settled(cache);
@@ -403,7 +407,8 @@
 	if (!report)
 		return;
 	/* Older than an order that was accepted. */
-	if (cache->is_known && report->sequence < cache->sequence)
+	if (cache->is_known && report->sequence < cache->sequence &&
+	    now - cache->accepted_at < CACHE_REPORT_LAG_MS)
 		return;
 	resolve_doubt(cache, report);
 	cache->sequence = report->sequence;
--- a/lib/hold/adapter_cache.h
+++ b/lib/hold/adapter_cache.h
@@ -46,13 +46,14 @@
 #define CACHE_REPORT_LAG_MS 400
 
 /* After an order without an answer, until it is sent again. */
-#define CACHE_AGAIN_MS 60
+#define CACHE_AGAIN_MS 20
 
 /* Adapters that an engine keeps at hand after they were unloaded. */
 #define CACHE_AT_HAND_MAX 150
 
-/* What is added to the usual time of a load that was not done by then. */
-#define CACHE_LATE_MS 40
+/* A load that was not done by its usual time: looked at again so much later,
+ * and the usual time is taken to be a quarter of it longer. */
+#define CACHE_LATE_MS 60
 
 /* Between reports while nothing is under way. */
 #define CACHE_IDLE_REPORT_MS 5000
--- a/lib/hold/gate.h
+++ b/lib/hold/gate.h
@@ -24,10 +24,10 @@
 #include "base/clock.h"
 
 /* Part of an engine's time that prompts may take while streams run. */
-#define GATE_PREFILL_SHARE 0.6
+#define GATE_PREFILL_SHARE 0.5
 
 /* Prompts that may be read at once, in ms of the engine's time. */
-#define GATE_PREFILL_BURST_MS 90
+#define GATE_PREFILL_BURST_MS 75
 
 /* What a request is taken to run when nothing is known of the engine. */
 #define GATE_RUN_FIRST_MS 1500
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -4,8 +4,10 @@
 
 #include "base/hash.h"
 
-/* An engine takes this many times the mean load before others are asked. */
-#define CROWDED_SHARE 1.25
+/* An engine that holds an adapter takes this many times the mean load. */
+#define CROWDED_SHARE 2.0
+/* One that would have to load it first takes less. */
+#define CROWDED_SHARE_LOAD 1.6
 
 /* Requests for each place that are no reason to move on, whatever the mean. */
 #define CROWDED_MIN 0.25
@@ -407,14 +409,14 @@
 	return best;
 }
 
-static double crowded_load(const GPtrArray *list, ms_t now)
+static double crowded_load(const GPtrArray *list, ms_t now, double share)
 {
 	double sum = 0;
 	guint i;
 
 	for (i = 0; i < list->len; i++)
 		sum += fleet_endpoint_load(list->pdata[i], now);
-	return MAX(CROWDED_MIN, CROWDED_SHARE * sum / MAX(list->len, 1));
+	return MAX(CROWDED_MIN, share * sum / MAX(list->len, 1));
 }
 
 /* The least loaded endpoint that holds the adapter, or NULL. */
@@ -439,7 +441,8 @@
 			   const GPtrArray *list, const fleet_query_t *query,
 			   fleet_choice_t *choice)
 {
-	double crowded = crowded_load(list, now);
+	double crowded = crowded_load(list, now, CROWDED_SHARE);
+	double crowded_cold = crowded_load(list, now, CROWDED_SHARE_LOAD);
 	fleet_endpoint_t *resident;
 
 	choice->endpoint = first_by_hash(list, now, query, crowded, TRUE);
@@ -447,7 +450,7 @@
 	if (choice->is_resident)
 		return;
 	resident = least_loaded_resident(fleet, now, list, query);
-	choice->endpoint = first_by_hash(list, now, query, crowded, FALSE);
+	choice->endpoint = first_by_hash(list, now, query, crowded_cold, FALSE);
 	if (!choice->endpoint && !resident)
 		choice->endpoint =
 			first_by_hash(list, now, query, G_MAXDOUBLE, FALSE);
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -37,7 +37,7 @@
 	const char *failure_domain;
 	int64_t started_at; /* tells incarnations of one id apart */
 	gboolean is_leaving;
-	int places;	     /* requests that it runs at once */
+	int places; /* requests that it runs at once */
 	gboolean is_engine;
 	char *const *models; /* base models that an engine holds; or NULL */
 } endpoint_info_t;
