--- a/lib/front/link.c
+++ b/lib/front/link.c
@@ -317,6 +317,20 @@
 	}
 }
 
+/*
+ * libuv reports a hang-up after a partial read as the end of the stream, also
+ * when the connection was reset.
+ */
+static gboolean was_reset(const link_t *link)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd) < 0)
+		return TRUE;
+	return recv(fd, &byte, 1, MSG_DONTWAIT) != 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
 {
 	link_t *link = stream->data;
@@ -336,7 +350,8 @@
 		return;
 	}
 	link->is_reading = TRUE;
-	is_whole = size == UV_EOF && http1_reader_finish(link->reader);
+	is_whole = size == UV_EOF && !was_reset(link) &&
+		   http1_reader_finish(link->reader);
 	link->is_reading = FALSE;
 	if (!link->exchange) {
 		link_close(link);
