hold: let a request wait for its adapter at one engine

A request now waits where it asked first; it is refused at once, for all engines, when the loads ahead of it take too long, and a want that nobody waits for any more is dropped. An unreachable engine refuses at once, an order without an answer is sent again after 100 ms, and the usual time of a load counts the loads of all engines.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -30,9 +30,12 @@
 	void (*on_go)(void *ctx, ask_id_t ask, int64_t version, int running);
 	/* The holder has the question, and the request has to wait. */
 	void (*on_wait)(void *ctx, ask_id_t ask);
-	/* Not there; worth another question after this time.  The id is void.
+	/*
+	 * Not there; worth another question after this time.  is_final: other
+	 * engines would be no better.  The id is void.
 	 */
-	void (*on_refused)(void *ctx, ask_id_t ask, ms_t retry_after);
+	void (*on_refused)(void *ctx, ask_id_t ask, ms_t retry_after,
+			   gboolean is_final);
 	/* An adapter is no longer usable at an engine. */
 	void (*on_dropped)(void *ctx, const char *engine, const char *adapter);
 	/* The service of an engine, or NULL while it is not known. */
@@ -48,6 +51,7 @@
 	ms_t lease_ttl;
 	ms_t load_time;	       /* of an adapter from the store of weights */
 	ms_t again_time;       /* of one that the engine held recently */
+	int loads_at_once;     /* at full speed, at all engines */
 	double prefill_per_ms; /* prompt tokens that an engine reads */
 } adapters_options_t;
 
@@ -56,6 +60,7 @@
 	const char *adapter; /* NULL for the base model alone */
 	int64_t version;     /* the oldest that will do */
 	gboolean is_missing; /* the engine refused it as not resident */
+	ms_t load_max;	     /* how long it may wait for its adapter */
 	gate_request_t request;
 } ask_t;
 
--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -5,12 +5,18 @@
 #include "base/log.h"
 #include "platform/engine.h"
 
-/* An engine answers an order in a few ms; one that is lost is asked about. */
-#define ORDER_TIMEOUT_MS 400
+/* An engine answers in a few ms; the same order may be sent again. */
+#define ORDER_TIMEOUT_MS 100
+
+/* After a failed connection, until the engine is called again. */
+#define DOWN_RETRY_MS 200
+
+/* How long a request may wait for its adapter, if not longer for a place. */
+#define LOAD_WAIT_MS	 600
 #define REPORT_MAX_BYTES (256 * 1024)
 
 /* Time to come back when there was no room for an adapter. */
-#define ADAPTER_RETRY_MS 250
+#define ADAPTER_RETRY_MS 400
 
 static ms_t now_of(const adapters_t *adapters)
 {
@@ -35,6 +41,20 @@
 
 static void move_asks(held_engine_t *held, ms_t now);
 
+/* Note whether a call reached the engine. */
+static void note_reached(held_engine_t *held, ms_t now, const GError *error)
+{
+	gboolean is_down = error && error_kind(error) == ERROR_UNAVAILABLE;
+
+	if (is_down)
+		held->call_at = now + DOWN_RETRY_MS;
+	if (is_down == held->is_down)
+		return;
+	held->is_down = is_down;
+	log_info(is_down ? "engine unreachable" : "engine reached", "endpoint",
+		 held->id, "error", error ? error->message : "", NULL);
+}
+
 static void on_order(void *ctx, int status, const char *body, size_t size,
 		     const GError *error)
 {
@@ -45,6 +65,7 @@
 	char *text = g_strdup_printf("%d", status);
 
 	held->order = NULL;
+	note_reached(held, now, error);
 	histogram_add(adapters->order_time, now - held->ordered_at);
 	/* Nothing was sent: the same order goes again after a report. */
 	if (!error)
@@ -103,6 +124,7 @@
 	GError *fault = NULL;
 
 	held->report = NULL;
+	note_reached(held, now_of(adapters), error);
 	if (error || status != 200) {
 		adapter_cache_report(held->cache, now_of(adapters), NULL);
 		return;
@@ -204,24 +226,40 @@
 
 static const gate_actions_t gate_actions = {on_go};
 
+/* Whether other requests wait for the adapter of this one. */
+static gboolean is_shared(const held_engine_t *held, const held_ask_t *ask)
+{
+	const held_ask_t *other;
+
+	TAILQ_FOREACH (other, &held->asks, link) {
+		if (other != ask && !other->ticket &&
+		    !g_strcmp0(other->adapter, ask->adapter))
+			return TRUE;
+	}
+	return FALSE;
+}
+
 static void ask_free(held_engine_t *held, held_ask_t *ask, ms_t now)
 {
+	TAILQ_REMOVE(&held->asks, ask, link);
 	if (ask->ticket) {
 		gate_done(held->gate, now, ask->ticket);
 		if (ask->adapter)
 			adapter_cache_release(held->cache, now, ask->adapter);
+	} else if (held->cache && ask->adapter && !is_shared(held, ask)) {
+		adapter_cache_unwant(held->cache, ask->adapter);
 	}
-	TAILQ_REMOVE(&held->asks, ask, link);
 	g_free(ask->adapter);
 	g_free(ask);
 }
 
 static void ask_refuse(held_engine_t *held, held_ask_t *ask, ms_t now,
-		       ms_t retry_after)
+		       ms_t retry_after, gboolean is_final)
 {
 	holder_news_t news = {.type = MESSAGE_REFUSED,
 			      .ask = ask->id,
-			      .retry_after = retry_after};
+			      .retry_after = retry_after,
+			      .is_final = is_final};
 
 	counter_add(held->adapters->refused, 1);
 	adapters_answer(held->adapters, ask->asker, &news);
@@ -235,7 +273,7 @@
 
 	ask->ticket = gate_submit(held->gate, now, &ask->request, ask, &wait);
 	if (!ask->ticket) {
-		ask_refuse(held, ask, now, wait);
+		ask_refuse(held, ask, now, wait, FALSE);
 		return FALSE;
 	}
 	if (ask->adapter)
@@ -253,8 +291,10 @@
 		next = TAILQ_NEXT(ask, link);
 		if (ask->ticket)
 			continue;
-		if (ask->is_refused)
-			ask_refuse(held, ask, now, ADAPTER_RETRY_MS);
+		if (ask->is_refused || held->is_down)
+			ask_refuse(held, ask, now, ADAPTER_RETRY_MS, FALSE);
+		else if (now - ask->since > ask->load_max)
+			ask_refuse(held, ask, now, ADAPTER_RETRY_MS, TRUE);
 		else if (adapter_cache_version(held->cache, ask->adapter))
 			ask_submit(held, ask, now);
 	}
@@ -277,9 +317,11 @@
 	held_ask_t *ask;
 
 	cancel_calls(held);
+	held->is_down = FALSE;
+	held->call_at = 0;
 	while ((ask = TAILQ_FIRST(&held->asks))) {
 		if (!ask->ticket || ticket_is_waiting(ask->ticket))
-			ask_refuse(held, ask, now, 0);
+			ask_refuse(held, ask, now, 0, FALSE);
 		else
 			ask_free(held, ask, now);
 	}
@@ -298,6 +340,9 @@
 		adapters->events.service(adapters->ctx, endpoint);
 
 	cache->slot_count = service ? service->adapter_slots : 0;
+	cache->loads_at_once = adapters->options.loads_at_once;
+	cache->engines = (int)fleet_count(adapters->fleet,
+					  fleet_endpoint_service(endpoint));
 	cache->load_time = adapters->options.load_time;
 	cache->again_time = adapters->options.again_time;
 	gate->places = fleet_endpoint_places(endpoint);
@@ -341,8 +386,9 @@
 	follow_incarnation(held);
 	if (!held->cache)
 		return;
-	adapter_cache_tick(held->cache, now,
-			   !held->order && may_order(held, now));
+	if (now >= held->call_at)
+		adapter_cache_tick(held->cache, now,
+				   !held->order && may_order(held, now));
 	move_asks(held, now);
 }
 
@@ -394,15 +440,18 @@
 	ms_t now = now_of(adapters);
 	held_ask_t *ask = g_new0(held_ask_t, 1);
 	holder_news_t news = {.type = MESSAGE_WAIT, .ask = id};
+	ms_t load_wait;
 
 	follow_incarnation(held);
 	ask->asker = asker;
 	ask->id = id;
+	ask->since = now;
 	ask->adapter = g_strdup(question->adapter);
 	ask->request = question->request;
+	ask->load_max = question->load_max;
 	TAILQ_INSERT_TAIL(&held->asks, ask, link);
-	if (!held->cache) {
-		ask_refuse(held, ask, now, 0);
+	if (!held->cache || held->is_down) {
+		ask_refuse(held, ask, now, 0, FALSE);
 		return;
 	}
 	if (ask->adapter) {
@@ -412,9 +461,16 @@
 	}
 	if (ask->adapter && !may_order(held, now) &&
 	    !adapter_cache_version(held->cache, ask->adapter)) {
-		ask_refuse(held, ask, now, 0);
+		ask_refuse(held, ask, now, 0, FALSE);
 		return;
 	}
+	if (ask->adapter && !adapter_cache_version(held->cache, ask->adapter)) {
+		load_wait = adapter_cache_load_wait(held->cache, ask->adapter);
+		if (load_wait > ask->load_max) {
+			ask_refuse(held, ask, now, load_wait, TRUE);
+			return;
+		}
+	}
 	if (!ask->adapter || adapter_cache_version(held->cache, ask->adapter)) {
 		if (!ask_submit(held, ask, now))
 			return;
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -54,7 +54,7 @@
 	} else {
 		forget_asked(adapters, news->ask);
 		adapters->events.on_refused(adapters->ctx, news->ask,
-					    news->retry_after);
+					    news->retry_after, news->is_final);
 	}
 }
 
@@ -100,11 +100,12 @@
 		codec_write_text(&writer, news->engine);
 		codec_write_text(&writer, news->adapter);
 	} else {
-		codec_write_init(&writer, news->type, 4);
+		codec_write_init(&writer, news->type, 5);
 		codec_write_int(&writer, news->ask);
 		codec_write_int(&writer, news->version);
 		codec_write_int(&writer, news->running);
 		codec_write_int(&writer, news->retry_after);
+		codec_write_bool(&writer, news->is_final);
 	}
 	conn_send(asker, &writer);
 }
@@ -128,6 +129,7 @@
 	ask.request.prompt = codec_read_int(reader, 0, INT64_MAX);
 	ask.request.priority = (int)codec_read_int(reader, 0, G_MAXINT);
 	ask.request.wait_max = codec_read_int(reader, 0, INT64_MAX);
+	ask.load_max = codec_read_int(reader, 0, INT64_MAX);
 	if (!codec_read_end(reader) || !engine) {
 		log_unreadable(conn_peer_instance(conn));
 	} else {
@@ -226,6 +228,7 @@
 		news.version = codec_read_int(&reader, 0, INT64_MAX);
 		news.running = (int)codec_read_int(&reader, 0, G_MAXINT);
 		news.retry_after = codec_read_int(&reader, 0, INT64_MAX);
+		news.is_final = codec_read_bool(&reader);
 	}
 	if (type < MESSAGE_GO || type > MESSAGE_DROPPED ||
 	    !codec_read_end(&reader))
@@ -263,7 +266,7 @@
 		ask_id_t ask = g_array_index(lost, ask_id_t, i);
 
 		forget_asked(adapters, ask);
-		adapters->events.on_refused(adapters->ctx, ask, 0);
+		adapters->events.on_refused(adapters->ctx, ask, 0, FALSE);
 	}
 	g_array_free(lost, TRUE);
 }
@@ -336,7 +339,7 @@
 {
 	codec_writer_t writer;
 
-	codec_write_init(&writer, MESSAGE_ASK, 8);
+	codec_write_init(&writer, MESSAGE_ASK, 9);
 	codec_write_text(&writer, ask->engine);
 	codec_write_text(&writer, ask->adapter);
 	codec_write_int(&writer, id);
@@ -345,6 +348,7 @@
 	codec_write_int(&writer, ask->request.prompt);
 	codec_write_int(&writer, ask->request.priority);
 	codec_write_int(&writer, ask->request.wait_max);
+	codec_write_int(&writer, ask->load_max);
 	peers_send(adapters->peers, holder, &writer);
 }
 
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -31,6 +31,7 @@
 	int64_t version;     /* of GO */
 	int running;	     /* of GO */
 	ms_t retry_after;    /* of REFUSED */
+	gboolean is_final;   /* of REFUSED: other engines are no better */
 	const char *engine;  /* of DROPPED */
 	const char *adapter; /* of DROPPED */
 } holder_news_t;
@@ -42,6 +43,8 @@
 	ask_id_t id;
 	char *adapter; /* NULL for the base model alone */
 	gate_request_t request;
+	ms_t since;
+	ms_t load_max;
 	ticket_t *ticket; /* NULL while it waits for its adapter */
 	gboolean is_refused;
 } held_ask_t;
@@ -58,6 +61,8 @@
 	http_call_t *order; /* open calls, or NULL */
 	http_call_t *report;
 	ms_t ordered_at;
+	gboolean is_down; /* it can't be reached from here */
+	ms_t call_at;	  /* no call before */
 	struct held_ask_list asks;
 	GHashTable *users; /* adapter to GPtrArray of conn_t or NULL */
 } held_engine_t;
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -39,6 +39,9 @@
 /* The last engine that is asked: part of the time left. */
 #define LAST_WAIT_PART 3
 
+/* A request may wait so long for its adapter. */
+#define LOAD_WAIT_MAX_MS 1800
+
 /* An adapter for a further engine is wanted no more often than this. */
 #define WANT_AGAIN_MS 3000
 
@@ -697,6 +700,8 @@
 	else
 		forward->asks++;
 	ask.request.wait_max = wait_max(forward, now);
+	ask.load_max = MIN((forward->ends_at - now) / LAST_WAIT_PART,
+			   LOAD_WAIT_MAX_MS);
 	forward->state = FORWARD_WAITING;
 	forward->asked_at = now;
 	forward->is_queued = FALSE;
@@ -789,7 +794,8 @@
 	fleet_endpoint_note_load(forward->endpoint, now, &load);
 }
 
-void forward_refused(front_t *front, ask_id_t ask, ms_t retry_after)
+void forward_refused(front_t *front, ask_id_t ask, ms_t retry_after,
+		     gboolean is_final)
 {
 	forward_t *forward = find_ask(front, ask);
 
@@ -802,8 +808,18 @@
 	if (retry_after &&
 	    (!forward->retry_after || retry_after < forward->retry_after))
 		forward->retry_after = retry_after;
-	forward->why = "no room at the engine";
-	ask_elsewhere(forward);
+	if (!is_final) {
+		forward->why = "no room at the engine";
+		ask_elsewhere(forward);
+		return;
+	}
+	forward->why = "too many adapters wait";
+	forward->wait += now_of(forward) - forward->asked_at;
+	leave_endpoint(forward);
+	if (forward->is_begun)
+		forward_break(forward);
+	else
+		forward_refuse(forward, RETRY_FULL_MS);
 }
 
 void forward_endpoint_gone(front_t *front, const char *id)
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -68,6 +68,8 @@
 		 60000},
 		{"adapter_again_ms", SETTING_INT, &at->adapter_again_ms, "25",
 		 1, 60000},
+		{"adapter_loads_at_once", SETTING_INT,
+		 &at->adapter_loads_at_once, "8", 1, 100000},
 		{"prefill_per_s", SETTING_INT, &at->prefill_per_s, "38700", 1,
 		 100000000},
 		{"log_lines_max", SETTING_INT, &at->log_lines_max, "200", 1,
@@ -276,9 +278,10 @@
 	forward_wait(ctx, ask);
 }
 
-static void on_refused(void *ctx, ask_id_t ask, ms_t retry_after)
+static void on_refused(void *ctx, ask_id_t ask, ms_t retry_after,
+		       gboolean is_final)
 {
-	forward_refused(ctx, ask, retry_after);
+	forward_refused(ctx, ask, retry_after, is_final);
 }
 
 static void on_dropped(void *ctx, const char *engine, const char *adapter)
@@ -493,6 +496,7 @@
 				 front->settings.lease_ttl_min_ms),
 		.load_time = front->settings.adapter_load_ms,
 		.again_time = front->settings.adapter_again_ms,
+		.loads_at_once = (int)front->settings.adapter_loads_at_once,
 		.prefill_per_ms =
 			(double)front->settings.prefill_per_s / MS_PER_S,
 	};
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -33,10 +33,11 @@
 	char *repeat_share;	  /* of the requests for a service */
 	int64_t repeat_window_s;
 	int64_t repeat_slack;
-	int64_t adapter_load_ms;  /* from the store of weights */
-	int64_t adapter_again_ms; /* when the engine held it recently */
-	int64_t prefill_per_s;	  /* prompt tokens that an engine reads */
-	int64_t log_lines_max;	  /* of one event in a second */
+	int64_t adapter_load_ms;       /* from the store of weights */
+	int64_t adapter_again_ms;      /* when the engine held it recently */
+	int64_t adapter_loads_at_once; /* at full speed, at all engines */
+	int64_t prefill_per_s;	       /* prompt tokens that an engine reads */
+	int64_t log_lines_max;	       /* of one event in a second */
 } front_settings_t;
 
 struct front {
@@ -82,7 +83,8 @@
 /* What became of a question to the holder of an engine. */
 void forward_go(front_t *front, ask_id_t ask, int64_t version, int running);
 void forward_wait(front_t *front, ask_id_t ask);
-void forward_refused(front_t *front, ask_id_t ask, ms_t retry_after);
+void forward_refused(front_t *front, ask_id_t ask, ms_t retry_after,
+		     gboolean is_final);
 
 /* An endpoint takes no more requests: what waits for it goes elsewhere. */
 void forward_endpoint_gone(front_t *front, const char *id);
--- a/lib/hold/adapter_cache.c
+++ b/lib/hold/adapter_cache.c
@@ -87,6 +87,7 @@
 			       const cache_options_t *options)
 {
 	cache->options.slot_count = options->slot_count;
+	cache->options.engines = options->engines;
 }
 
 static GList *find_at_hand(const adapter_cache_t *cache, const char *adapter)
@@ -178,6 +179,42 @@
 	cache->report_at = now + delay;
 }
 
+void adapter_cache_unwant(adapter_cache_t *cache, const char *adapter)
+{
+	entry_t *entry = g_hash_table_lookup(cache->table, adapter);
+
+	if (!entry)
+		return;
+	entry->is_wanted = FALSE;
+	entry_release(cache, entry);
+}
+
+/*
+ * Engines share the store of weights: while it is the bound, each load takes
+ * its part of the store's time.
+ */
+ms_t adapter_cache_load_wait(const adapter_cache_t *cache, const char *adapter)
+{
+	const cache_options_t *options = &cache->options;
+	const entry_t *entry;
+	ms_t each = options->load_time * options->engines /
+		    MAX(options->loads_at_once, 1);
+	ms_t wait = 0;
+
+	if (find_at_hand(cache, adapter))
+		return options->again_time;
+	TAILQ_FOREACH (entry, &cache->entries, link) {
+		gboolean is_ahead =
+			entry->state == STATE_LOADING ||
+			(entry->is_wanted && entry->state == STATE_ABSENT);
+
+		if (is_ahead && !find_at_hand(cache, entry->adapter) &&
+		    strcmp(entry->adapter, adapter))
+			wait += each;
+	}
+	return wait + options->load_time;
+}
+
 void adapter_cache_use(adapter_cache_t *cache, ms_t now, const char *adapter)
 {
 	entry_t *entry = entry_get(cache, adapter);
@@ -236,6 +273,28 @@
 	want(entry, now);
 }
 
+static int count_coming(const adapter_cache_t *cache)
+{
+	const entry_t *entry;
+	int coming = 0;
+
+	TAILQ_FOREACH (entry, &cache->entries, link)
+		coming += entry->state == STATE_LOADING;
+	return coming;
+}
+
+static ms_t expected_time(adapter_cache_t *cache, const char *adapter)
+{
+	const cache_options_t *options = &cache->options;
+	ms_t usual = *load_time(cache, adapter);
+	int everywhere = count_coming(cache) * options->engines;
+
+	if (find_at_hand(cache, adapter) ||
+	    everywhere <= options->loads_at_once)
+		return usual;
+	return usual * everywhere / options->loads_at_once;
+}
+
 static void order_took_effect(adapter_cache_t *cache, ms_t now)
 {
 	entry_t *entry = cache->ordered;
@@ -247,7 +306,7 @@
 	if (cache->order_kind == CACHE_ORDER_LOAD) {
 		entry->state = STATE_LOADING;
 		entry->loading = MAX(entry->wanted, 1);
-		entry->ready_at = now + *load_time(cache, entry->adapter);
+		entry->ready_at = now + expected_time(cache, entry->adapter);
 	} else {
 		entry->state = STATE_UNLOADING;
 	}
--- a/lib/hold/adapter_cache.h
+++ b/lib/hold/adapter_cache.h
@@ -40,7 +40,7 @@
 #define CACHE_WANT_MS 4000
 
 /* Between reports while orders are under way or in doubt. */
-#define CACHE_POLL_MS 250
+#define CACHE_POLL_MS 150
 
 /* How old a report may be. */
 #define CACHE_REPORT_LAG_MS 400
@@ -113,6 +113,12 @@
 	int slot_count;	 /* adapters that the engine holds at once */
 	ms_t load_time;	 /* of an adapter from the store of weights */
 	ms_t again_time; /* of one that the engine held recently */
+	/*
+	 * Loads of all engines that the store of weights carries at full speed,
+	 * and the engines; each engine is taken to be as busy as this one.
+	 */
+	int loads_at_once;
+	int engines;
 } cache_options_t;
 
 adapter_cache_t *adapter_cache_create(const cache_options_t *options,
@@ -133,6 +139,12 @@
 			    const char *adapter, int64_t version,
 			    int64_t *resident);
 
+/* Nobody waits for the adapter any more. */
+void adapter_cache_unwant(adapter_cache_t *cache, const char *adapter);
+
+/* How long a further adapter would have to wait for its load, and the load. */
+ms_t adapter_cache_load_wait(const adapter_cache_t *cache, const char *adapter);
+
 /* The version that is usable now, or 0. */
 int64_t adapter_cache_version(const adapter_cache_t *cache,
 			      const char *adapter);
