--- a/lib/front/caller.c
+++ b/lib/front/caller.c
@@ -173,7 +173,8 @@
 	call->state = CALLER_READING;
 	call->active_at = now_of(call);
 	g_byte_array_set_size(call->body, 0);
-	if (!call->keeps_alive) {
+	/* An answer that began before the stop has announced nothing. */
+	if (!call->keeps_alive || call->callers->is_draining) {
 		call->closes_when_sent = TRUE;
 		if (!uv_stream_get_write_queue_size((uv_stream_t *)&call->tcp))
 			call_close(call);
