--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,9 @@
 endef
 $(foreach lib,$(LIB_DIRS),$(eval $(call lib_rule,$(lib))))
 
-$(BUILD)/libhc-platform.a: $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c))
+# The models of the platform's systems are for tests and link nowhere else.
+PLATFORM_SOURCES := $(wildcard platform/*.c platform/standin/model_*.c)
+$(BUILD)/libhc-platform.a: $(patsubst %.c,$(BUILD)/%.o,$(PLATFORM_SOURCES))
 	@rm -f $@
 	$(AR) rcs $@ $^
 
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -1,5 +1,6 @@
 #include "front/front.h"
 
+#include <stdio.h>
 #include <sys/stat.h>
 #include <string.h>
 
@@ -529,7 +530,6 @@
 	front->process = process;
 	front->clock = process_clock(process);
 	front->rand = process_rand(process);
-	log_bound((int)front->settings.log_lines_max);
 	TAILQ_INIT(&front->forwards);
 	front->versions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -553,6 +553,9 @@
 	uv_timer_init(process_loop(process), &front->sweeper);
 	front->sweeper.data = front;
 	uv_timer_start(&front->sweeper, on_sweep, SWEEP_MS, SWEEP_MS);
+	printf("listening %s\n", front->settings.callers_listen);
+	fflush(stdout);
+	log_bound((int)front->settings.log_lines_max);
 	log_info("started", "callers", front->settings.callers_listen, NULL);
 	return TRUE;
 }
--- /dev/null
+++ b/t/lib/front.sh
@@ -0,0 +1,145 @@
+# Shell functions for tests of hc-front against models of the platform, on top of
+# deploy.sh.
+#
+#	ip N				address of instance N
+#	start_models [OPTION...]	standin-platform; 'model ID' is an endpoint
+#	write_config VERSION [ROUTE...]	the operator's configuration; a route is
+#					NAME PREFIX KIND SERVICE TIMEOUT ATTEMPTS
+#	start_front N			hc-front of instance N, and wait until ready
+#	is_ready N			status 0 if it says that it is ready
+#	ask N PATH [CURL-OPTION...]	a request through instance N
+#	adapter N NAME [OPTION...]	a stream of an adapter through instance N
+#	control ID QUERY		set a fault of a model ('store' or an id)
+#	ledger ID			what ran there
+#	total FIELD ID...		the sum of a field of ledgers
+
+. "$(dirname "$0")/../t/lib/deploy.sh"
+
+network=127.$((1 + $$ / 250 % 200)).$((1 + $$ % 250))
+
+ip () {
+	echo "$network.$1"
+}
+
+start_models () {
+	engines=2
+	services=2
+	start_many 5 platform standin-platform "$@"
+}
+
+# The address that the models printed for an endpoint, or for the store.
+model () {
+	case "$1" in
+	store)
+		pattern='^listening \(127[0-9.:]*\)$' ;;
+	*)
+		pattern="^listening $1 \\(.*\\)\$" ;;
+	esac
+	sed -n "s/$pattern/\\1/p" "$work/platform.out"
+}
+
+put_item () {
+	curl -sS -X PUT "http://$(model store)/control?key=$1" \
+		--data-binary @- -o /dev/null
+}
+
+default_routes='stream /stream/ streaming assist 3000 1
+resume /resume/ streaming assist 3000 2
+write /write/ non_idempotent desk 1000 1
+read /read/ idempotent desk 1000 2'
+
+write_config () {
+	version=$1
+	routes=${2:-$default_routes}
+	{
+		echo "{\"version\": $version, \"routes\": ["
+		echo "$routes" | while read -r name prefix kind service timeout attempts
+		do
+			test "$name" = resume && more=', "resumable": true' || more=
+			echo "$separator{\"name\": \"$name\", \"host\": \"front.example\",
+				\"prefix\": \"$prefix\", \"kind\": \"$kind\",
+				\"service\": \"$service\", \"timeoutMs\": $timeout,
+				\"goalMs\": 200, \"priority\": 0,
+				\"attempts\": $attempts$more}"
+			separator=,
+		done
+		echo '], "services": [
+			{"name": "desk", "healthPath": "/health", "maxConns": 100},
+			{"name": "assist", "healthPath": "/health", "maxConns": 100,
+			 "engine": {"slots": 16, "adapterSlots": 4,
+				"weightsMb": 36000, "models": [{"name": "base",
+				"weightsMb": 30000.0, "adapterMb": 40.0}]}}],
+		"limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 65536,
+			"headerTimeoutMs": 1000, "idleTimeoutMs": 5000}}'
+	} | put_item op/config
+}
+
+front_settings () {
+	settings "front$1" <<-END
+	// An instance of the test.
+	{
+		"instance": "front-$1",
+		"address": "$(ip "$1")",
+		"region": "north",
+		"failure_domain": "north-a",
+		"callers_listen": "$(ip "$1"):8000",
+		"ready_listen": "$(ip "$1"):8001",
+		"owner_port": 8002,
+		"key_value_service": ["$(model store)"],
+		"grace_s": 6,
+		"order_gap_ms": 300,
+		"lease_ttl_ms": 1000,
+		"adapter_load_ms": 40
+	}
+	END
+}
+
+is_ready () {
+	test "$(curl -s -o /dev/null -w '%{http_code}' --max-time 2 \
+		"http://$(ip "$1"):8001/ready")" = 200
+}
+
+start_front () {
+	test -f "$work/front$1.json" || front_settings "$1"
+	start "front$1" hc-front --settings "$work/front$1.json"
+	wait_for is_ready "$1"
+}
+
+request=0
+ask () {
+	to=$1
+	path=$2
+	shift 2
+	request=$((request + 1))
+	curl -sS --max-time 10 "http://$(ip "$to"):8000$path" \
+		-H "Host: ${host:-front.example}" \
+		-H "X-Hawthorncross-Request-Id: $$-$request-$(date +%N)" \
+		-H "X-Hawthorncross-Deadline-Ms: ${deadline:-5000}" "$@"
+}
+
+adapter () {
+	to=$1
+	name=$2
+	shift 2
+	ask "$to" "${path_of_stream:-/stream/}x" -X POST -d prompt \
+		-H "X-Hawthorncross-Model: base/$name" \
+		-H 'X-Hawthorncross-Token-Count: 100,20' "$@"
+}
+
+control () {
+	curl -sS -X POST "http://$(model "$1")/control?$2" -o /dev/null
+}
+
+ledger () {
+	curl -sS "http://$(model "$1")/control/ledger"
+}
+
+total () {
+	field=$1
+	shift
+	for id in "$@"
+	do
+		ledger "$id"
+	done | sed "s/.*\"$field\":\\([0-9]*\\).*/\\1/" |
+	awk '{ sum += $1 } END { print sum }'
+}
--- /dev/null
+++ b/t/t0803-front-fleet.sh
@@ -0,0 +1,101 @@
+#!/bin/sh
+# Two instances: engines change hands, the store is away, configurations change.
+. "$(dirname "$0")/lib/front.sh"
+
+start_models
+write_config 1
+start_front 1
+start_front 2
+
+code () {
+	ask "$@" -o /dev/null -w '%{http_code}\n'
+}
+served_at () {
+	test "$(adapter "$1" "$2" -o /dev/null -w '%{http_code}')" = 200
+}
+held () {
+	curl -s "http://$(ip "$1"):8001/status" |
+	grep -o '"engine-[12]-1":' | wc -l
+}
+share () {
+	test "$(held 1)" = 1 && test "$(held 2)" = 1
+}
+wait_for share
+wait_for served_at 1 a1
+wait_for served_at 2 a2
+served_everywhere () {
+	for n in 1 2 3 4 5 6
+	do
+		adapter $((1 + n % 2)) "a$n" -o /dev/null -w '%{http_code}\n'
+	done | sort | uniq -c | tr -s ' '
+}
+expect 'both instances reach both engines' served_everywhere <<\END
+ 6 200
+END
+
+# A newer configuration is in force everywhere, and an unreadable one nowhere.
+write_config 2 "$default_routes
+new /new/ idempotent desk 1000 1"
+new_route () {
+	test "$(code 1 /new/x)" = 200 && test "$(code 2 /new/x)" = 200
+}
+wait_for new_route
+echo '{"version": 3, "routes": "none"}' | put_item op/config
+wait_for grep -q 'configuration refused' "$work/front1.out"
+wait_for grep -q 'configuration refused' "$work/front2.out"
+expect 'an unreadable configuration changes nothing' code 1 /new/x <<\END
+200
+END
+write_config 1
+sleep 1
+expect 'an older configuration changes nothing' code 2 /new/x <<\END
+200
+END
+echo 'no JSON' | put_item servers/engine-9
+echo '{"service": "desk", "addr": 7}' | put_item servers/desk-9
+wait_for grep -q 'endpoint unreadable.*desk-9' "$work/front1.out"
+expect 'an unreadable endpoint hurts no other' code 1 /read/x <<\END
+200
+END
+
+# While the store is away, what is known goes on.
+control store mode=silent
+wait_for grep -q 'store lost' "$work/front1.out"
+while_away () {
+	code 1 /read/x
+	code 2 /write/x -X POST -d 1
+	adapter 1 a1 -o /dev/null -w '%{http_code}\n'
+}
+expect 'requests are served without the store' while_away <<\END
+200
+200
+200
+END
+is_ready 1 || fail 'not ready without the store'
+control store mode=up
+wait_for grep -q 'store regained' "$work/front1.out"
+control store compact=1
+write_config 4 "$default_routes
+later /later/ idempotent desk 1000 1"
+later () {
+	test "$(code 1 /later/x)" = 200
+}
+wait_for later
+
+# An instance that dies leaves its engines to the other.
+kill_now front1
+took_over () {
+	test "$(held 2)" = 2
+}
+wait_for took_over
+wait_for served_at 2 b1
+wait_for served_at 2 b2
+start_front 1
+wait_for served_at 1 a1
+expect 'no order broke a rule' total broken engine-1 engine-2 <<\END
+0
+END
+expect 'nothing ran twice' total twice engine-1 engine-2 desk-1 desk-2 <<\END
+0
+END
+finish
