hold: take no report while an order is open, and test the parts without network

Reports are now taken only while no order is open. A load without an answer whose number is not reached yet keeps its slot counted until it is.

--- a/lib/hold/adapter_cache.c
+++ b/lib/hold/adapter_cache.c
@@ -41,9 +41,14 @@
 	int64_t sequence; /* orders that the engine has accepted */
 	ms_t accepted_at; /* when the last of them was */
 	gboolean is_order_open;
-	gboolean is_in_doubt; /* the last order may yet be carried out */
+	gboolean is_in_doubt;	/* the last order may yet be carried out */
+	gboolean is_unanswered; /* it, or the same one before it, got no answer
+				 */
 	cache_order_kind_t order_kind;
 	entry_t *ordered; /* NULL for a base model */
+	/* A load that may be carried out once its number is reached; 0: none.
+	 */
+	int64_t late_sequence;
 	gboolean is_report_open;
 	gboolean is_look_due; /* what is known is in doubt */
 	ms_t report_at;
@@ -317,6 +322,7 @@
 	entry_t *entry = cache->ordered;
 
 	cache->is_in_doubt = FALSE;
+	cache->is_unanswered = FALSE;
 	cache->ordered = NULL;
 	if (entry)
 		entry_release(cache, entry);
@@ -371,6 +377,8 @@
 	case CACHE_ANSWER_STALE:
 	case CACHE_ANSWER_UNKNOWN:
 		cache->is_in_doubt = TRUE;
+		if (answer == CACHE_ANSWER_UNKNOWN)
+			cache->is_unanswered = TRUE;
 		cache->order_at = now + CACHE_AGAIN_MS;
 		look_soon(cache, now, 0);
 		break;
@@ -454,6 +462,9 @@
 	if (!cache->is_in_doubt || report->sequence == cache->sequence)
 		return;
 	unload_is_void(cache);
+	if (report->sequence < cache->sequence && cache->is_unanswered &&
+	    cache->order_kind == CACHE_ORDER_LOAD)
+		cache->late_sequence = cache->sequence;
 	order_is_settled(cache);
 }
 
@@ -463,7 +474,8 @@
 	cache->is_report_open = FALSE;
 	cache->is_look_due = FALSE;
 	cache->report_at = now + CACHE_POLL_MS;
-	if (!report)
+	/* While an order is open, its answer says more. */
+	if (!report || cache->is_order_open)
 		return;
 	/* Older than an order that was accepted. */
 	if (cache->is_known && report->sequence < cache->sequence &&
@@ -484,6 +496,8 @@
 	int taken = 0;
 
 	*coming = 0;
+	if (cache->late_sequence && cache->sequence <= cache->late_sequence)
+		taken++;
 	TAILQ_FOREACH (entry, &cache->entries, link) {
 		gboolean may_come = entry == cache->ordered &&
 				    cache->order_kind == CACHE_ORDER_LOAD;
--- /dev/null
+++ b/t/unit/test-hold.c
@@ -0,0 +1,486 @@
+/* Who holds which engine, and which adapters it is ordered to hold. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "hold/adapter_cache.h"
+#include "hold/holdings.h"
+
+#define SLOTS	   2
+#define LOAD_MS	   250
+#define AGAIN_MS   25
+#define LEASE_MS   2000
+#define GAP_MS	   3000
+#define VALID	   ((ms_t)1000000)
+#define FIRST_TIME ((ms_t)1000)
+
+/* What the cache asked for. */
+typedef struct {
+	int orders;
+	cache_order_kind_t kind;
+	char adapter[32];
+	int64_t sequence;
+	int reports;
+	GString *told;
+} seen_t;
+
+static void send_order(void *ctx, const cache_order_t *order)
+{
+	seen_t *seen = ctx;
+
+	seen->orders++;
+	seen->kind = order->kind;
+	seen->sequence = order->sequence;
+	g_snprintf(seen->adapter, sizeof(seen->adapter), "%s",
+		   order->adapter ? order->adapter : "");
+}
+
+static void ask_report(void *ctx)
+{
+	((seen_t *)ctx)->reports++;
+}
+
+static void ready(void *ctx, const char *adapter, int64_t version)
+{
+	g_string_append_printf(((seen_t *)ctx)->told, "ready %s@%d;", adapter,
+			       (int)version);
+}
+
+static void dropped(void *ctx, const char *adapter)
+{
+	g_string_append_printf(((seen_t *)ctx)->told, "dropped %s;", adapter);
+}
+
+static void refused(void *ctx, const char *adapter)
+{
+	g_string_append_printf(((seen_t *)ctx)->told, "refused %s;", adapter);
+}
+
+static const cache_actions_t actions = {send_order, ask_report, ready, dropped,
+					refused};
+
+static adapter_cache_t *create(seen_t *seen)
+{
+	static const cache_options_t options = {
+		.slot_count = SLOTS,
+		.load_time = LOAD_MS,
+		.again_time = AGAIN_MS,
+		.loads_at_once = 8,
+		.engines = 1,
+	};
+
+	memset(seen, 0, sizeof(*seen));
+	seen->told = g_string_new(NULL);
+	return adapter_cache_create(&options, &actions, seen);
+}
+
+static void destroy(adapter_cache_t *cache, seen_t *seen)
+{
+	adapter_cache_destroy(cache);
+	g_string_free(seen->told, TRUE);
+}
+
+/* An engine with its base model that accepted so many orders. */
+static void report(adapter_cache_t *cache, ms_t now, int64_t sequence,
+		   const cache_resident_t *residents, guint count)
+{
+	const cache_report_t at = {.sequence = sequence,
+				   .has_model = TRUE,
+				   .residents = residents,
+				   .count = count};
+
+	adapter_cache_report(cache, now, &at);
+}
+
+static void want(adapter_cache_t *cache, ms_t now, const char *adapter)
+{
+	int64_t resident;
+
+	adapter_cache_want(cache, now, adapter, 0, &resident);
+}
+
+static void expect_order(seen_t *seen, int count, cache_order_kind_t kind,
+			 const char *adapter, int64_t sequence)
+{
+	assert_int_equal(seen->orders, count);
+	assert_int_equal(seen->kind, kind);
+	assert_string_equal(seen->adapter, adapter);
+	assert_int_equal(seen->sequence, sequence);
+}
+
+static void expect_told(seen_t *seen, const char *text)
+{
+	assert_string_equal(seen->told->str, text);
+	g_string_truncate(seen->told, 0);
+}
+
+/* A cold and a hot load, then one that needs room. */
+static void test_load_and_make_room(void **state)
+{
+	seen_t seen;
+	adapter_cache_t *cache = create(&seen);
+
+	adapter_cache_tick(cache, 0, TRUE);
+	assert_int_equal(seen.reports, 1);
+	want(cache, 0, "m/a");
+	/* Nothing is ordered before a report. */
+	adapter_cache_tick(cache, 5, TRUE);
+	assert_int_equal(seen.orders, 0);
+	report(cache, 10, 7, NULL, 0);
+	adapter_cache_tick(cache, 10, TRUE);
+	expect_order(&seen, 1, CACHE_ORDER_LOAD, "m/a", 7);
+	adapter_cache_answered(cache, 12, CACHE_ANSWER_ACCEPTED);
+	adapter_cache_tick(cache, 12 + LOAD_MS - 1, TRUE);
+	expect_told(&seen, "");
+	adapter_cache_tick(cache, 12 + LOAD_MS, TRUE);
+	expect_told(&seen, "ready m/a@1;");
+
+	want(cache, 300, "m/b");
+	adapter_cache_tick(cache, 300, TRUE);
+	expect_order(&seen, 2, CACHE_ORDER_LOAD, "m/b", 8);
+	adapter_cache_answered(cache, 302, CACHE_ANSWER_ACCEPTED);
+	adapter_cache_tick(cache, 302 + LOAD_MS, TRUE);
+	expect_told(&seen, "ready m/b@1;");
+
+	/* The one that is in use stays. */
+	adapter_cache_use(cache, 600, "m/a");
+	want(cache, 700, "m/c");
+	adapter_cache_tick(cache, 700, TRUE);
+	expect_order(&seen, 3, CACHE_ORDER_UNLOAD, "m/b", 9);
+	expect_told(&seen, "dropped m/b;");
+	adapter_cache_answered(cache, 702, CACHE_ANSWER_DONE);
+	adapter_cache_tick(cache, 710, TRUE);
+	expect_order(&seen, 4, CACHE_ORDER_LOAD, "m/c", 10);
+	adapter_cache_answered(cache, 712, CACHE_ANSWER_ACCEPTED);
+	adapter_cache_use(cache, 712, "m/c");
+
+	/* Both are in use: no room, told at once. */
+	adapter_cache_tick(cache, 712 + LOAD_MS, TRUE);
+	g_string_truncate(seen.told, 0);
+	want(cache, 1000, "m/d");
+	adapter_cache_tick(cache, 1000, TRUE);
+	expect_told(&seen, "refused m/d;");
+	assert_int_equal(seen.orders, 4);
+
+	/* Held before, it is back ten times as fast. */
+	adapter_cache_release(cache, 1100, "m/c");
+	want(cache, 1100, "m/b");
+	adapter_cache_tick(cache, 1100, TRUE);
+	expect_order(&seen, 5, CACHE_ORDER_UNLOAD, "m/c", 11);
+	adapter_cache_answered(cache, 1102, CACHE_ANSWER_DONE);
+	adapter_cache_tick(cache, 1110, TRUE);
+	adapter_cache_answered(cache, 1112, CACHE_ANSWER_ACCEPTED);
+	g_string_truncate(seen.told, 0);
+	adapter_cache_tick(cache, 1112 + AGAIN_MS, TRUE);
+	expect_told(&seen, "ready m/b@1;");
+	destroy(cache, &seen);
+}
+
+/* No answer: the same order again, with the same number, until it is seen. */
+static void test_order_without_answer(void **state)
+{
+	seen_t seen;
+	adapter_cache_t *cache = create(&seen);
+	const cache_resident_t coming = {"m/a", 1, TRUE};
+
+	adapter_cache_tick(cache, 0, TRUE);
+	report(cache, 0, 3, NULL, 0);
+	want(cache, 0, "m/a");
+	want(cache, 1, "m/b");
+	adapter_cache_tick(cache, 10, TRUE);
+	adapter_cache_answered(cache, 110, CACHE_ANSWER_UNKNOWN);
+	adapter_cache_tick(cache, 140, TRUE);
+	report(cache, 141, 3, NULL, 0);
+	adapter_cache_tick(cache, 150, TRUE);
+	expect_order(&seen, 2, CACHE_ORDER_LOAD, "m/a", 3);
+	adapter_cache_answered(cache, 152, CACHE_ANSWER_STALE);
+	adapter_cache_tick(cache, 180, TRUE);
+	/* The first one was carried out meanwhile: on to the next. */
+	report(cache, 181, 4, &coming, 1);
+	adapter_cache_tick(cache, 190, TRUE);
+	expect_order(&seen, 3, CACHE_ORDER_LOAD, "m/b", 4);
+	destroy(cache, &seen);
+}
+
+/*
+ * Seen on the users' bench: an unload of what was gone left the count of orders
+ * one too high, and each later order was refused for the rest of the day.
+ */
+static void test_count_too_high(void **state)
+{
+	seen_t seen;
+	adapter_cache_t *cache = create(&seen);
+
+	adapter_cache_tick(cache, 0, TRUE);
+	report(cache, 0, 15, NULL, 0);
+	want(cache, 0, "m/a");
+	adapter_cache_tick(cache, 10, TRUE);
+	adapter_cache_answered(cache, 12, CACHE_ANSWER_ACCEPTED);
+	want(cache, 20, "m/b");
+	adapter_cache_tick(cache, 20, TRUE);
+	expect_order(&seen, 2, CACHE_ORDER_LOAD, "m/b", 16);
+	adapter_cache_answered(cache, 22, CACHE_ANSWER_STALE);
+	adapter_cache_tick(cache, 60, TRUE);
+	/* This may be older than the accepted order. */
+	report(cache, 61, 15, NULL, 0);
+	adapter_cache_tick(cache, 70, TRUE);
+	adapter_cache_answered(cache, 72, CACHE_ANSWER_STALE);
+	adapter_cache_tick(cache, 600, FALSE);
+	/* This is not. */
+	report(cache, 601, 15, NULL, 0);
+	adapter_cache_tick(cache, 620, TRUE);
+	assert_int_equal(seen.sequence, 15);
+	destroy(cache, &seen);
+}
+
+/* A request came too early, or what was there is gone. */
+static void test_missing(void **state)
+{
+	seen_t seen;
+	adapter_cache_t *cache = create(&seen);
+	const cache_resident_t coming = {"m/a", 1, TRUE};
+	const cache_resident_t there = {"m/a", 1, FALSE};
+
+	adapter_cache_tick(cache, 0, TRUE);
+	report(cache, 0, 0, NULL, 0);
+	want(cache, 0, "m/a");
+	adapter_cache_tick(cache, 10, TRUE);
+	adapter_cache_answered(cache, 12, CACHE_ANSWER_ACCEPTED);
+	adapter_cache_tick(cache, 12 + LOAD_MS, TRUE);
+	assert_int_equal(adapter_cache_version(cache, "m/a"), 1);
+	adapter_cache_missing(cache, 300, "m/a");
+	assert_int_equal(adapter_cache_version(cache, "m/a"), 0);
+	seen.reports = 0;
+	adapter_cache_tick(cache, 301, TRUE);
+	assert_int_equal(seen.reports, 1);
+	report(cache, 303, 1, &coming, 1);
+	assert_int_equal(adapter_cache_version(cache, "m/a"), 0);
+	report(cache, 400, 1, &there, 1);
+	assert_int_equal(adapter_cache_version(cache, "m/a"), 1);
+	/* It was there for certain, and a report shows that it is not. */
+	adapter_cache_missing(cache, 5000, "m/a");
+	adapter_cache_tick(cache, 5001, TRUE);
+	report(cache, 5003, 1, NULL, 0);
+	assert_int_equal(adapter_cache_version(cache, "m/a"), 0);
+	destroy(cache, &seen);
+}
+
+/* A newer version: the older one is used no more, and is replaced. */
+static void test_newer_version(void **state)
+{
+	seen_t seen;
+	adapter_cache_t *cache = create(&seen);
+	const cache_resident_t there = {"m/a", 1, FALSE};
+	int64_t resident;
+
+	adapter_cache_tick(cache, 0, TRUE);
+	report(cache, 0, 0, &there, 1);
+	assert_int_equal(adapter_cache_version(cache, "m/a"), 1);
+	adapter_cache_declare(cache, 10, "m/a", 2);
+	assert_true(strstr(seen.told->str, "dropped m/a;") != NULL);
+	assert_false(adapter_cache_want(cache, 11, "m/a", 0, &resident));
+	adapter_cache_tick(cache, 20, TRUE);
+	expect_order(&seen, 1, CACHE_ORDER_LOAD, "m/a", 0);
+	adapter_cache_answered(cache, 22, CACHE_ANSWER_ACCEPTED);
+	adapter_cache_tick(cache, 22 + LOAD_MS, TRUE);
+	assert_int_equal(adapter_cache_version(cache, "m/a"), 2);
+	destroy(cache, &seen);
+}
+
+/* The store of weights is the bound: the wait for one more load is told. */
+static void test_load_wait(void **state)
+{
+	seen_t seen;
+	adapter_cache_t *cache = create(&seen);
+	const cache_options_t crowded = {.slot_count = 100, .engines = 16};
+	int i;
+
+	adapter_cache_set_options(cache, &crowded);
+	assert_int_equal(adapter_cache_load_wait(cache, "m/x"), LOAD_MS);
+	for (i = 0; i < 10; i++) {
+		char *name = g_strdup_printf("m/%d", i);
+
+		want(cache, 0, name);
+		g_free(name);
+	}
+	/* Sixteen engines share eight loads at a time. */
+	assert_int_equal(adapter_cache_load_wait(cache, "m/x"),
+			 10 * LOAD_MS * 2 + LOAD_MS);
+	for (i = 0; i < 10; i++) {
+		char *name = g_strdup_printf("m/%d", i);
+
+		adapter_cache_unwant(cache, name);
+		g_free(name);
+	}
+	assert_int_equal(adapter_cache_load_wait(cache, "m/x"), LOAD_MS);
+	destroy(cache, &seen);
+}
+
+/* Two processes' views of one record. */
+typedef struct {
+	holdings_t *holdings;
+	int takes;
+	int64_t revision;
+} holder_t;
+
+static void take(void *ctx, const char *engine, int64_t revision)
+{
+	holder_t *holder = ctx;
+
+	holder->takes++;
+	holder->revision = revision;
+}
+
+static void nothing(void *ctx, const char *engine)
+{
+}
+
+static void holder_create(holder_t *holder, const char *instance)
+{
+	static const holdings_actions_t acts = {take, nothing, nothing};
+	const holdings_options_t options = {instance, LEASE_MS, GAP_MS};
+
+	memset(holder, 0, sizeof(*holder));
+	holder->holdings = holdings_create(&options, 0, &acts, holder);
+}
+
+static gboolean may_order(const holder_t *holder, ms_t now)
+{
+	return holdings_may_order(holder->holdings, now, VALID, "e");
+}
+
+/* A new engine goes to one instance, which orders at once. */
+static void test_new_engine(void **state)
+{
+	holder_t one;
+	holder_t two;
+	holder_t *taker;
+	holder_t *other;
+
+	holder_create(&one, "one");
+	holder_create(&two, "two");
+	holdings_set_lease(one.holdings, 0, 11);
+	holdings_set_lease(two.holdings, 0, 12);
+	holdings_set_instance(one.holdings, 0, "one", 11);
+	holdings_set_instance(one.holdings, 0, "two", 12);
+	holdings_set_instance(two.holdings, 0, "one", 11);
+	holdings_set_instance(two.holdings, 0, "two", 12);
+	holdings_set_engine(one.holdings, 0, "e", TRUE);
+	holdings_set_engine(two.holdings, 0, "e", TRUE);
+	/* Others may still appear. */
+	holdings_tick(one.holdings, 10, VALID);
+	holdings_tick(two.holdings, 10, VALID);
+	assert_int_equal(one.takes + two.takes, 0);
+	holdings_tick(one.holdings, FIRST_TIME, VALID);
+	holdings_tick(two.holdings, FIRST_TIME, VALID);
+	assert_int_equal(one.takes + two.takes, 1);
+	taker = one.takes ? &one : &two;
+	other = one.takes ? &two : &one;
+	assert_int_equal(taker->revision, 0);
+	holdings_taken(taker->holdings, FIRST_TIME, "e", 5);
+	assert_true(may_order(taker, FIRST_TIME));
+	assert_int_equal(holdings_order(taker->holdings, FIRST_TIME, VALID,
+					"e"),
+			 5);
+	assert_false(may_order(other, FIRST_TIME));
+	/* Without a valid lease there is no order. */
+	assert_false(holdings_may_order(taker->holdings, VALID, VALID, "e"));
+	holdings_destroy(one.holdings);
+	holdings_destroy(two.holdings);
+}
+
+/*
+ * The holder's lease goes away, be it that it expired or that the store dropped
+ * it while the holder believes in it: the successor's first order comes after
+ * the last one that the holder may send.
+ */
+static void test_successor_waits(void **state)
+{
+	holder_t two;
+	ms_t gone = 10000;
+
+	holder_create(&two, "two");
+	holdings_set_lease(two.holdings, 0, 12);
+	holdings_set_instance(two.holdings, 0, "two", 12);
+	holdings_set_instance(two.holdings, 0, "one", 11);
+	holdings_set_engine(two.holdings, 0, "e", TRUE);
+	holdings_set_record(two.holdings, 0, "e", "one", 11, 5);
+	holdings_tick(two.holdings, gone - 1, VALID);
+	assert_int_equal(two.takes, 0);
+	holdings_set_instance(two.holdings, gone, "one", 0);
+	holdings_tick(two.holdings, gone, VALID);
+	assert_int_equal(two.takes, 1);
+	assert_int_equal(two.revision, 5);
+	holdings_taken(two.holdings, gone + 5, "e", 9);
+	assert_string_equal(holdings_holder(two.holdings, "e"), "two");
+	assert_false(may_order(&two, gone + LEASE_MS + GAP_MS - 1));
+	assert_true(may_order(&two, gone + LEASE_MS + GAP_MS));
+	holdings_destroy(two.holdings);
+}
+
+/* Given back: only what is under way has to arrive. */
+static void test_released(void **state)
+{
+	holder_t two;
+
+	holder_create(&two, "two");
+	holdings_set_lease(two.holdings, 0, 12);
+	holdings_set_instance(two.holdings, 0, "two", 12);
+	holdings_set_engine(two.holdings, 0, "e", TRUE);
+	holdings_set_record(two.holdings, 5000, "e", "", 0, 6);
+	holdings_tick(two.holdings, 5000, VALID);
+	assert_int_equal(two.takes, 1);
+	holdings_taken(two.holdings, 5000, "e", 7);
+	assert_false(may_order(&two, 5000 + GAP_MS - 1));
+	assert_true(may_order(&two, 5000 + GAP_MS));
+	holdings_destroy(two.holdings);
+}
+
+/* A new process of the same instance takes its records back at once. */
+static void test_restarted_holder(void **state)
+{
+	holder_t one;
+
+	holder_create(&one, "one");
+	holdings_set_instance(one.holdings, 0, "one", 21);
+	holdings_set_engine(one.holdings, 0, "e", TRUE);
+	holdings_set_record(one.holdings, 0, "e", "one", 11, 5);
+	holdings_tick(one.holdings, 0, VALID);
+	assert_int_equal(one.takes, 0);
+	holdings_set_lease(one.holdings, 10, 21);
+	holdings_tick(one.holdings, 10, VALID);
+	assert_int_equal(one.takes, 1);
+	assert_int_equal(one.revision, 5);
+	holdings_taken(one.holdings, 15, "e", 8);
+	assert_true(may_order(&one, 15));
+	/* Another instance was faster to write, which the watch tells. */
+	holdings_set_record(one.holdings, 20, "e", "two", 12, 9);
+	assert_false(may_order(&one, 20));
+	/* News that is older than what is known changes nothing. */
+	holdings_set_record(one.holdings, 30, "e", "one", 21, 8);
+	assert_false(may_order(&one, 30));
+	holdings_destroy(one.holdings);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_load_and_make_room),
+		cmocka_unit_test(test_order_without_answer),
+		cmocka_unit_test(test_count_too_high),
+		cmocka_unit_test(test_missing),
+		cmocka_unit_test(test_newer_version),
+		cmocka_unit_test(test_load_wait),
+		cmocka_unit_test(test_new_engine),
+		cmocka_unit_test(test_successor_waits),
+		cmocka_unit_test(test_released),
+		cmocka_unit_test(test_restarted_holder),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
