t: test HTTP/1 messages, connections to endpoints and the platform's formats

test_smuggling found that http-parser lets a space into a header's name: "Content-Length : 5" went on to the endpoint beside the length that is set here.

--- a/lib/http/http1_reader.c
+++ b/lib/http/http1_reader.c
@@ -87,6 +87,9 @@
 
 	if (reader->is_head_done)
 		return 0;
+	/* http-parser lets a space into a name, others end the name there. */
+	if (strchr(reader->name->str, ' '))
+		return 1;
 	reader->is_value = TRUE;
 	g_string_append_len(reader->value, at, (gssize)size);
 	return grow_head(reader, size);
--- /dev/null
+++ b/t/unit/test-http1.c
@@ -0,0 +1,262 @@
+/* Reading HTTP/1 messages from bytes as they come. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "http/http1_reader.h"
+
+#define HEAD_MAX 200
+
+typedef struct {
+	GString *log;
+	GString *body;
+} seen_t;
+
+static void on_head(void *ctx, const http1_head_t *head)
+{
+	seen_t *seen = ctx;
+
+	if (head->status)
+		g_string_append_printf(seen->log, "%d", head->status);
+	else
+		g_string_append_printf(seen->log, "%s %s", head->method,
+				       head->target);
+	g_string_append_printf(seen->log, " keep=%d length=%d;",
+			       head->keeps_alive, head->has_length);
+}
+
+static void on_data(void *ctx, const char *data, size_t size)
+{
+	g_string_append_len(((seen_t *)ctx)->body, data, (gssize)size);
+}
+
+static void on_end(void *ctx)
+{
+	g_string_append(((seen_t *)ctx)->log, "end;");
+}
+
+static const http1_events_t events = {on_head, on_data, on_end};
+
+typedef struct {
+	seen_t seen;
+	http1_reader_t *reader;
+	size_t read; /* bytes of the last text that were read */
+} fixture_t;
+
+static void begin(fixture_t *at, http1_kind_t kind)
+{
+	at->seen.log = g_string_new(NULL);
+	at->seen.body = g_string_new(NULL);
+	at->reader = http1_reader_create(kind, HEAD_MAX, &events, &at->seen);
+}
+
+static void end(fixture_t *at)
+{
+	http1_reader_destroy(at->reader);
+	g_string_free(at->seen.log, TRUE);
+	g_string_free(at->seen.body, TRUE);
+}
+
+/* In pieces of a few bytes; the kind of the error, or -1. */
+static int feed(fixture_t *at, const char *text, size_t piece)
+{
+	size_t left = strlen(text);
+	GError *error = NULL;
+	int kind = -1;
+
+	at->read = 0;
+	while (left && !error && !http1_reader_is_done(at->reader)) {
+		size_t read = http1_reader_feed(at->reader, text,
+						MIN(piece, left), &error);
+
+		at->read += read;
+		text += read;
+		left -= read;
+	}
+	if (error)
+		kind = error_kind(error);
+	g_clear_error(&error);
+	return kind;
+}
+
+static void test_request_in_pieces(void **state)
+{
+	const char *text = "POST /a%2fb?c=d HTTP/1.1\r\nHost: x\r\n"
+			   "Content-Length: 5\r\n\r\nhelloGET / HT";
+	size_t piece;
+
+	for (piece = 1; piece < 60; piece++) {
+		fixture_t at;
+
+		begin(&at, HTTP1_REQUESTS);
+		assert_int_equal(feed(&at, text, piece), -1);
+		assert_string_equal(at.seen.log->str,
+				    "POST /a%2fb?c=d keep=1 length=1;end;");
+		assert_string_equal(at.seen.body->str, "hello");
+		/* What follows is not touched. */
+		assert_int_equal(at.read, strlen(text) - strlen("GET / HT"));
+		end(&at);
+	}
+}
+
+static void test_pipelined(void **state)
+{
+	const char *text = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+			   "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n";
+	fixture_t at;
+
+	begin(&at, HTTP1_REQUESTS);
+	assert_int_equal(feed(&at, text, strlen(text)), -1);
+	assert_int_equal(at.read, strlen(text) / 2);
+	http1_reader_reset(at.reader, FALSE);
+	assert_int_equal(feed(&at, text + at.read, strlen(text)), -1);
+	assert_string_equal(at.seen.log->str, "GET /1 keep=1 length=0;end;"
+					      "GET /2 keep=1 length=0;end;");
+	end(&at);
+}
+
+static void test_chunked(void **state)
+{
+	fixture_t at;
+
+	begin(&at, HTTP1_RESPONSES);
+	assert_int_equal(feed(&at,
+			      "HTTP/1.1 200 OK\r\n"
+			      "Transfer-Encoding: chunked\r\n\r\n"
+			      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nextra",
+			      7),
+			 -1);
+	assert_string_equal(at.seen.log->str, "200 keep=1 length=1;end;");
+	assert_string_equal(at.seen.body->str, "abcde");
+	end(&at);
+}
+
+/* Cut before its end, an answer is not whole. */
+static void test_cut(void **state)
+{
+	static const char *const cut[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcd",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"3\r\nabc\r\n",
+		"HTTP/1.1 200 OK\r\nContent-", ""};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cut); i++) {
+		fixture_t at;
+
+		begin(&at, HTTP1_RESPONSES);
+		assert_int_equal(feed(&at, cut[i], 9), -1);
+		assert_false(http1_reader_finish(at.reader));
+		assert_null(strstr(at.seen.log->str, "end"));
+		end(&at);
+	}
+}
+
+static void test_ended_by_the_connection(void **state)
+{
+	fixture_t at;
+
+	begin(&at, HTTP1_RESPONSES);
+	assert_int_equal(feed(&at, "HTTP/1.1 200 OK\r\n\r\nabc", 5), -1);
+	assert_false(http1_reader_is_done(at.reader));
+	assert_true(http1_reader_finish(at.reader));
+	assert_string_equal(at.seen.log->str, "200 keep=0 length=0;end;");
+	assert_string_equal(at.seen.body->str, "abc");
+	end(&at);
+}
+
+static void test_interim(void **state)
+{
+	fixture_t at;
+
+	begin(&at, HTTP1_RESPONSES);
+	assert_int_equal(feed(&at,
+			      "HTTP/1.1 102 Processing\r\nX: 1\r\n\r\n"
+			      "HTTP/1.1 204 None\r\n\r\n",
+			      11),
+			 -1);
+	assert_string_equal(at.seen.log->str, "204 keep=1 length=0;end;");
+	end(&at);
+}
+
+/* Two lengths are one too many: a second request could hide in the first. */
+static void test_smuggling(void **state)
+{
+	static const char *const texts[] = {
+		"POST / HTTP/1.1\r\nContent-Length: 5\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 5\r\n"
+		"Content-Length: 6\r\n\r\nhello!",
+		"POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length : 5\r\n\r\nhello",
+		"NONSENSE\r\n\r\n"};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		fixture_t at;
+
+		begin(&at, HTTP1_REQUESTS);
+		if (feed(&at, texts[i], 8) != ERROR_PROTOCOL)
+			fail_msg("taken: %s", texts[i]);
+		assert_null(strstr(at.seen.log->str, "end"));
+		end(&at);
+	}
+}
+
+static void test_large_head(void **state)
+{
+	char *filler = g_strnfill(HEAD_MAX, 'a');
+	char *text = g_strdup_printf("GET / HTTP/1.1\r\nX: %s\r\n\r\n", filler);
+	fixture_t at;
+
+	begin(&at, HTTP1_REQUESTS);
+	assert_int_equal(feed(&at, text, 16), ERROR_TOO_LARGE);
+	end(&at);
+	g_free(text);
+	g_free(filler);
+}
+
+static gboolean is_hop(const char *name, const char *head)
+{
+	http1_head_t copy = {0};
+	GArray *headers = g_array_new(FALSE, TRUE, sizeof(http_header_t));
+	http_header_t connection = {"Connection", head};
+	gboolean hop;
+
+	g_array_append_val(headers, connection);
+	copy.headers = headers;
+	hop = http1_is_hop_header(&copy, name);
+	g_array_free(headers, TRUE);
+	return hop;
+}
+
+static void test_headers_of_one_hop(void **state)
+{
+	assert_true(is_hop("keep-alive", "close"));
+	assert_true(is_hop("Transfer-Encoding", "close"));
+	assert_true(is_hop("X-Mine", "close, x-mine"));
+	assert_false(is_hop("X-Mine", "close, x-mine-too"));
+	assert_false(is_hop("Content-Type", "close"));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_request_in_pieces),
+		cmocka_unit_test(test_pipelined),
+		cmocka_unit_test(test_chunked),
+		cmocka_unit_test(test_cut),
+		cmocka_unit_test(test_ended_by_the_connection),
+		cmocka_unit_test(test_interim),
+		cmocka_unit_test(test_smuggling),
+		cmocka_unit_test(test_large_head),
+		cmocka_unit_test(test_headers_of_one_hop),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/t/unit/test-platform.c
@@ -0,0 +1,380 @@
+/* The platform's names and formats, decoded into the project's types. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "base/error.h"
+#include "platform/decode.h"
+#include "platform/engine.h"
+#include "platform/headers.h"
+#include "platform/store_json.h"
+
+static const char config[] =
+	"{\"version\":4,\"new\":1,\"routes\":["
+	"{\"name\":\"r1\",\"host\":\"A.example\",\"prefix\":\"/s/\","
+	"\"kind\":\"streaming\",\"timeoutMs\":25000,\"goalMs\":1000,"
+	"\"priority\":0,\"service\":\"llm\",\"attempts\":2,\"resumable\":true},"
+	"{\"name\":\"r2\",\"host\":\"a.example\",\"prefix\":\"/w/\","
+	"\"kind\":\"non_idempotent\",\"timeoutMs\":1000,\"attempts\":1,"
+	"\"backends\":[{\"service\":\"one\",\"weight\":3},"
+	"{\"service\":\"two\",\"weight\":1}]}],"
+	"\"services\":[{\"name\":\"one\",\"maxConns\":110},"
+	"{\"name\":\"llm\",\"maxConns\":370,\"engine\":{\"slots\":64,"
+	"\"weightsMb\":34600.0,\"adapterSlots\":29,\"models\":["
+	"{\"name\":\"m\",\"weightsMb\":34300.0,\"adapterMb\":40.0}]}}],"
+	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,"
+	"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
+
+static void test_configuration(void **state)
+{
+	route_table_t *table =
+		decode_configuration(config, strlen(config), NULL);
+	const route_t *stream;
+	const route_t *write;
+	const service_t *service;
+
+	assert_non_null(table);
+	assert_int_equal(route_table_version(table), 4);
+	stream = route_table_find(table, "a.example", "/s/1");
+	assert_int_equal(stream->kind, ROUTE_STREAMING);
+	assert_true(stream->is_resumable);
+	assert_int_equal(stream->timeout, 25000);
+	assert_int_equal(stream->attempts, 2);
+	write = route_table_find(table, "a.example", "/w/1");
+	assert_int_equal(write->kind, ROUTE_NON_IDEMPOTENT);
+	assert_int_equal(write->targets->len, 2);
+	/* 300 MB are left beside the model, which are 7 adapters. */
+	service = route_table_service(table, "llm");
+	assert_true(service->is_engine);
+	assert_int_equal(service->adapter_slots, 7);
+	assert_string_equal(service->model, "m");
+	assert_false(route_table_service(table, "one")->is_engine);
+	assert_int_equal(route_table_limits(table)->body_max, 1000);
+	route_table_unref(table);
+}
+
+/* With one field spoilt, the whole is refused, and the field is named. */
+static void test_bad_configuration(void **state)
+{
+	static const struct {
+		const char *from;
+		const char *to;
+		const char *field;
+	} cases[] = {
+		{"\"version\":4", "\"version\":\"4\"", "version"},
+		{"\"routes\":[", "\"paths\":[", "routes"},
+		{"\"services\":[", "\"services\":7,\"x\":[", "services"},
+		{"\"kind\":\"streaming\"", "\"kind\":\"fast\"", "kind"},
+		{"\"timeoutMs\":25000", "\"timeoutMs\":0", "timeoutMs"},
+		{"\"service\":\"llm\"", "\"service\":1", "service"},
+		{"\"weight\":3", "\"weight\":-3", "backends"},
+		{"\"host\":\"A.example\"", "\"host\":null", "host"},
+	};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GString *text = g_string_new(config);
+		GError *error = NULL;
+
+		assert_int_equal(
+			g_string_replace(text, cases[i].from, cases[i].to, 1),
+			1);
+		assert_null(decode_configuration(text->str, text->len, &error));
+		assert_int_equal(error_kind(error), ERROR_INVALID);
+		assert_non_null(strstr(error->message, cases[i].field));
+		g_error_free(error);
+		g_string_free(text, TRUE);
+	}
+}
+
+static const char listed[] =
+	"{\"service\":\"llm\",\"addr\":\"10.1.64.9:8384\",\"zone\":\"a\","
+	"\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"seq\":1,"
+	"\"coldLeftMs\":0,\"born\":1791189534531,\"stage\":\"colocated\","
+	"\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[\"a1@1\"]}]}";
+
+static void test_endpoint(void **state)
+{
+	decoded_endpoint_t at;
+
+	assert_true(decode_endpoint("e", listed, strlen(listed), &at, NULL));
+	assert_string_equal(at.info.id, "e");
+	assert_string_equal(at.info.address, "10.1.64.9");
+	assert_int_equal(at.info.port, 8384);
+	assert_int_equal(at.info.places, 64);
+	assert_int_equal(at.info.started_at, 1791189534531);
+	assert_true(at.info.is_engine);
+	assert_string_equal(at.info.models[0], "m");
+	assert_false(at.info.is_leaving);
+	decoded_endpoint_release(&at);
+}
+
+/* Entries of another writer name nothing to use. */
+static void test_bad_endpoint(void **state)
+{
+	static const char *const cases[][2] = {
+		{"\"state\":\"ready\"", "\"state\":\"resting\""},
+		{"\"state\":\"ready\"", "\"state\":1"},
+		{"\"addr\":\"10.1.64.9:8384\"", "\"addr\":\"10.1.64.9\""},
+		{"\"addr\":\"10.1.64.9:8384\"", "\"addr\":\"10.1.64.9:x\""},
+		{"\"service\":\"llm\",", ""},
+		{"\"zone\":\"a\"", "\"zone\":{}"},
+		{"\"slots\":64", "\"slots\":\"64\""},
+		{"\"born\":1791189534531", "\"born\":1.5"},
+		{"{\"service\"", "[{\"service\""},
+	};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GString *text = g_string_new(listed);
+		decoded_endpoint_t at;
+		GError *error = NULL;
+
+		assert_int_equal(
+			g_string_replace(text, cases[i][0], cases[i][1], 1), 1);
+		assert_false(decode_endpoint("e", text->str, text->len, &at,
+					     &error));
+		assert_int_equal(error_kind(error), ERROR_INVALID);
+		g_error_free(error);
+		g_string_free(text, TRUE);
+	}
+}
+
+static void test_keys_and_versions(void **state)
+{
+	static const char text[] =
+		"{\"model\":\"m\",\"adapter\":\"a3\",\"version\":2}";
+	const char *name;
+	char *adapter;
+	int64_t version;
+
+	assert_int_equal(decode_key("op/config", &name), ITEM_CONFIGURATION);
+	assert_int_equal(decode_key("op/configs", &name), ITEM_OTHER);
+	assert_int_equal(decode_key("servers/e1", &name), ITEM_ENDPOINT);
+	assert_string_equal(name, "e1");
+	assert_int_equal(decode_key("op/version/m.a3", &name), ITEM_VERSION);
+	assert_true(
+		decode_version(text, strlen(text), &adapter, &version, NULL));
+	assert_string_equal(adapter, "m/a3");
+	assert_int_equal(version, 2);
+	g_free(adapter);
+	assert_false(decode_version("{}", 2, &adapter, &version, NULL));
+}
+
+static void test_order(void **state)
+{
+	const cache_order_t order = {CACHE_ORDER_UNLOAD, "m/a3", 7};
+	const cache_order_t model = {CACHE_ORDER_LOAD_MODEL, NULL, 0};
+	char *text = engine_render_order(&order, "m", "one", 41);
+
+	assert_string_equal(text, "{\"op\":\"unload\",\"model\":\"m\","
+				  "\"adapter\":\"a3\",\"expected\":7,"
+				  "\"holder\":\"one\",\"fence\":41}");
+	g_free(text);
+	text = engine_render_order(&model, "m", "one", 41);
+	assert_null(strstr(text, "adapter"));
+	assert_non_null(strstr(text, "\"op\":\"load\""));
+	g_free(text);
+	assert_int_equal(engine_order_answer(202), CACHE_ANSWER_ACCEPTED);
+	assert_int_equal(engine_order_answer(200), CACHE_ANSWER_DONE);
+	assert_int_equal(engine_order_answer(409), CACHE_ANSWER_STALE);
+	assert_int_equal(engine_order_answer(412), CACHE_ANSWER_REFUSED);
+	assert_int_equal(engine_order_answer(421), CACHE_ANSWER_REFUSED);
+}
+
+static void test_report(void **state)
+{
+	static const char text[] =
+		"{\"stage\":\"colocated\",\"models\":[{\"name\":\"m\","
+		"\"version\":1,\"adapters\":[\"a1@2\",\"a2\"]}],\"busy\":true,"
+		"\"seq\":9,\"coming\":[\"m/a3@1\"]}";
+	engine_report_t at;
+	GError *error = NULL;
+
+	assert_true(engine_parse_report(text, strlen(text), "m", &at, NULL));
+	assert_int_equal(at.report.sequence, 9);
+	assert_true(at.report.has_model);
+	assert_true(at.report.is_busy);
+	assert_int_equal(at.report.count, 3);
+	assert_string_equal(at.report.residents[0].adapter, "m/a1");
+	assert_int_equal(at.report.residents[0].version, 2);
+	assert_int_equal(at.report.residents[1].version, 0);
+	assert_string_equal(at.report.residents[2].adapter, "m/a3");
+	assert_true(at.report.residents[2].is_coming);
+	engine_report_release(&at);
+	assert_false(engine_parse_report("{}", 2, "m", &at, &error));
+	assert_int_equal(error_kind(error), ERROR_PROTOCOL);
+	g_error_free(error);
+}
+
+static void test_store_answers(void **state)
+{
+	static const char page[] =
+		"{\"items\":[{\"key\":\"a\",\"value\":\"eA==\",\"rev\":3,"
+		"\"createRev\":2,\"lease\":5}],\"morePages\":true,\"asOf\":9}";
+	static const char gone[] =
+		"{\"events\":[{\"key\":\"a\",\"rev\":4,\"deleted\":true}],"
+		"\"asOf\":10}";
+	GArray *items = kv_items_create();
+	gboolean has_more;
+	int64_t revision;
+	const kv_item_t *item;
+
+	assert_true(store_parse_items(page, strlen(page), items, &revision,
+				      &has_more, NULL));
+	assert_true(has_more);
+	assert_int_equal(revision, 9);
+	item = &g_array_index(items, kv_item_t, 0);
+	assert_string_equal(item->value, "x");
+	assert_int_equal(item->lease, 5);
+	assert_true(store_parse_items(gone, strlen(gone), items, &revision,
+				      &has_more, NULL));
+	assert_null(g_array_index(items, kv_item_t, 1).value);
+	assert_false(store_parse_items("{\"items\":[]}", 12, items, &revision,
+				       &has_more, NULL));
+	assert_false(store_parse_items("{\"asOf\":1,\"items\":[7]}", 22, items,
+				       &revision, &has_more, NULL));
+	g_array_free(items, TRUE);
+}
+
+static void test_store_write(void **state)
+{
+	const kv_write_t writes[] = {
+		{"a", KV_REVISION_ABSENT, "x", 1, 5},
+		{"b", 7, NULL, 0, 0},
+		{"c", KV_REVISION_ANY, "y", 1, 0},
+	};
+	char *text = store_render_write(writes, 3);
+
+	assert_string_equal(text,
+			    "{\"expected\":[{\"key\":\"a\",\"rev\":0},"
+			    "{\"key\":\"b\",\"rev\":7}],\"writes\":["
+			    "{\"key\":\"a\",\"value\":\"eA==\",\"lease\":5},"
+			    "{\"key\":\"c\",\"value\":\"eQ==\",\"lease\":0}],"
+			    "\"remove\":[\"b\"]}");
+	g_free(text);
+}
+
+/* What the request and the answer of a test say. */
+typedef struct {
+	http1_reader_t *reader;
+	const http1_head_t *head;
+} message_t;
+
+static void on_head(void *ctx, const http1_head_t *head)
+{
+	((message_t *)ctx)->head = head;
+}
+
+static void on_data(void *ctx, const char *data, size_t size)
+{
+}
+
+static void on_end(void *ctx)
+{
+}
+
+static void read_message(message_t *at, http1_kind_t kind, const char *text)
+{
+	static const http1_events_t events = {on_head, on_data, on_end};
+
+	at->reader = http1_reader_create(kind, 0, &events, at);
+	http1_reader_feed(at->reader, text, strlen(text), NULL);
+	assert_non_null(at->head);
+}
+
+static void test_request_headers(void **state)
+{
+	message_t at;
+	request_fields_t fields;
+	send_fields_t send = {.endpoint = "e1",
+			      .address = "10.0.0.1:80",
+			      .deadline = 900,
+			      .priority = 2};
+	GString *text = g_string_new(NULL);
+
+	read_message(&at, HTTP1_REQUESTS,
+		     "POST /x?y HTTP/1.1\r\nHost: h\r\n"
+		     "X-Hawthorncross-Request-Id: 9c\r\n"
+		     "X-Hawthorncross-Model: m/a3\r\n"
+		     "X-Hawthorncross-Token-Count: 1460,80\r\n"
+		     "X-Hawthorncross-Deadline-Ms: 1500\r\n"
+		     "X-Hawthorncross-Hold: forged\r\n"
+		     "x-hawthorncross-pin-ms: 9\r\n"
+		     "Kv-From: 1.2.3.4:5/6\r\n"
+		     "X-Hawthorncross-Expect-Instance: other\r\n"
+		     "Connection: keep-alive, X-One-Hop\r\nX-One-Hop: 1\r\n"
+		     "X-Kept: 1\r\nContent-Length: 3\r\n\r\nabc");
+	headers_read_request(at.head, &fields);
+	assert_string_equal(fields.id, "9c");
+	assert_string_equal(fields.adapter, "m/a3");
+	assert_int_equal(fields.tokens_in, 1460);
+	assert_int_equal(fields.tokens_out, 80);
+	assert_int_equal(fields.deadline, 1500);
+	headers_render_request(text, at.head, &send, 3);
+	assert_string_equal(text->str,
+			    "POST /x?y HTTP/1.1\r\nHost: h\r\n"
+			    "X-Hawthorncross-Request-Id: 9c\r\n"
+			    "X-Hawthorncross-Model: m/a3\r\n"
+			    "X-Hawthorncross-Token-Count: 1460,80\r\n"
+			    "X-Kept: 1\r\n"
+			    "x-hawthorncross-deadline-ms: 900\r\n"
+			    "x-hawthorncross-expect-instance: e1\r\n"
+			    "x-hawthorncross-request-priority: 2\r\n"
+			    "Content-Length: 3\r\n\r\n");
+	g_string_free(text, TRUE);
+	http1_reader_destroy(at.reader);
+}
+
+static void test_answer_headers(void **state)
+{
+	message_t at;
+	answer_fields_t fields;
+
+	read_message(&at, HTTP1_RESPONSES,
+		     "HTTP/1.1 503 X\r\nX-Hawthorncross-Not-Run: 1\r\n"
+		     "X-Hawthorncross-Server-Load: 3,1,8\r\n"
+		     "Keep-Alive: timeout=5, max=9\r\n"
+		     "Content-Length: 0\r\n\r\n");
+	headers_read_answer(at.head, &fields);
+	assert_true(fields.is_not_run);
+	assert_false(fields.is_elsewhere);
+	assert_false(fields.is_signed);
+	assert_true(fields.has_load);
+	assert_int_equal(fields.load.waiting, 1);
+	assert_int_equal(fields.idle_timeout, 5000);
+	http1_reader_destroy(at.reader);
+	read_message(&at, HTTP1_RESPONSES,
+		     "HTTP/1.1 200 X\r\nX-Hawthorncross-Server-Stamp: s\r\n"
+		     "X-Hawthorncross-Server-Load: 3,1\r\n"
+		     "Content-Encoding: gzip\r\nContent-Length: 0\r\n\r\n");
+	headers_read_answer(at.head, &fields);
+	assert_true(fields.is_signed);
+	assert_true(fields.is_encoded);
+	assert_false(fields.has_load);
+	http1_reader_destroy(at.reader);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_configuration),
+		cmocka_unit_test(test_bad_configuration),
+		cmocka_unit_test(test_endpoint),
+		cmocka_unit_test(test_bad_endpoint),
+		cmocka_unit_test(test_keys_and_versions),
+		cmocka_unit_test(test_order),
+		cmocka_unit_test(test_report),
+		cmocka_unit_test(test_store_answers),
+		cmocka_unit_test(test_store_write),
+		cmocka_unit_test(test_request_headers),
+		cmocka_unit_test(test_answer_headers),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
