--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -138,12 +138,14 @@
 	g_hash_table_foreach(adapters->held, tick_held, &now);
 }
 
-/* Something is always due soon while engines are held or taken. */
+/* Something is always due soon while engines are held, or a lease is wanted. */
 static ms_t on_due(void *ctx)
 {
 	const adapters_t *adapters = ctx;
+	gboolean is_busy = g_hash_table_size(adapters->held) ||
+			   !lease_id(adapters->lease);
 
-	return g_hash_table_size(adapters->held) ? 0 : MS_NEVER;
+	return is_busy && !adapters->is_stopping ? 0 : MS_NEVER;
 }
 
 static void wake(void *ctx)
