own: let the only process of an instance replace the record of a dead one

After all processes were killed, each new one waited up to 2 s for its predecessor's lease to lapse, and nobody could admit requests to its engines. On this platform an instance runs one process, so its record is left over. The stand-alone product keeps waiting: there two processes may share a name.

--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -142,8 +142,8 @@
 static ms_t on_due(void *ctx)
 {
 	const adapters_t *adapters = ctx;
-	gboolean is_busy = g_hash_table_size(adapters->held) ||
-			   !lease_id(adapters->lease);
+	gboolean is_busy =
+		g_hash_table_size(adapters->held) || !lease_id(adapters->lease);
 
 	return is_busy && !adapters->is_stopping ? 0 : MS_NEVER;
 }
@@ -155,6 +155,7 @@
 
 static lease_t *create_lease(adapters_t *adapters)
 {
+	lease_t *lease;
 	lease_options_t options = {
 		.instance = process_settings(adapters->process)->instance,
 		.record = adapters->record,
@@ -167,7 +168,9 @@
 		.ctx = adapters,
 	};
 
-	return lease_create(adapters->kv, &options);
+	lease = lease_create(adapters->kv, &options);
+	lease_set_only_process(lease);
+	return lease;
 }
 
 static holdings_t *create_holdings(adapters_t *adapters)
--- a/lib/own/lease.c
+++ b/lib/own/lease.c
@@ -25,6 +25,8 @@
 	ms_t retry_at; /* nothing is done before */
 	gboolean is_retry_wanted;
 	gboolean is_record_in_doubt; /* read it before writing again */
+	gboolean is_only_process;
+	int64_t left_over; /* revision of a record to be replaced; 0: none */
 };
 
 char *lease_record_key(const char *instance)
@@ -44,6 +46,11 @@
 	return lease;
 }
 
+void lease_set_only_process(lease_t *lease)
+{
+	lease->is_only_process = TRUE;
+}
+
 void lease_destroy(lease_t *lease)
 {
 	g_free(lease->instance);
@@ -124,7 +131,10 @@
 		lease->state = STATE_HELD;
 	if (status == KV_DONE)
 		lease->is_record_in_doubt = FALSE;
-	call_ended(lease, !is_mine);
+	lease->left_over = 0;
+	if (status == KV_DONE && count && !is_mine && lease->is_only_process)
+		lease->left_over = items[0].revision;
+	call_ended(lease, !is_mine && !lease->left_over);
 }
 
 static void renew(lease_t *lease, ms_t now)
@@ -139,6 +149,8 @@
 	kv_write_t write = {lease->key, KV_REVISION_ABSENT, lease->record,
 			    strlen(lease->record), lease->id};
 
+	if (lease->left_over)
+		write.expected = lease->left_over;
 	lease->is_busy = TRUE;
 	kv_write(lease->kv, &write, 1, on_registered, lease);
 }
