hold: take the loads that the store carries as a share of the engines

8 loads at once were taken for the whole deployment, whatever its size; with 60 engines each load was thought to take 2 s, and 500 of 5,000 requests were refused for it. The sheets give 8 for 9 and 12 engines and 48 for 60; two thirds of the engines is the least of these.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -49,10 +49,10 @@
 	int listen_port;
 	ms_t order_gap; /* between orders of two holders */
 	ms_t lease_ttl;
-	ms_t load_time;	       /* of an adapter from the store of weights */
-	ms_t again_time;       /* of one that the engine held recently */
-	int loads_at_once;     /* at full speed, at all engines */
-	double prefill_per_ms; /* prompt tokens that an engine reads */
+	ms_t load_time;		 /* of an adapter from the store of weights */
+	ms_t again_time;	 /* of one that the engine held recently */
+	double loads_per_engine; /* at full speed, at once */
+	double prefill_per_ms;	 /* prompt tokens that an engine reads */
 } adapters_options_t;
 
 typedef struct {
--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -340,9 +340,7 @@
 		adapters->events.service(adapters->ctx, endpoint);
 
 	cache->slot_count = service ? service->adapter_slots : 0;
-	cache->loads_at_once = adapters->options.loads_at_once;
-	cache->engines = (int)fleet_count(adapters->fleet,
-					  fleet_endpoint_service(endpoint));
+	cache->loads_per_engine = adapters->options.loads_per_engine;
 	cache->load_time = adapters->options.load_time;
 	cache->again_time = adapters->options.again_time;
 	gate->places = fleet_endpoint_places(endpoint);
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -745,8 +745,8 @@
 	if (forward->asks < ASKS_MAX && forward->misses < MISSES_MAX)
 		fleet_choose(front->fleet, now, &query, &choice);
 	/*
-	 * No holder is known, as after a start: the adapter is most likely where
-	 * the hash has it, and an engine that lacks it says so.
+	 * No holder is known, as after a start: the adapter is most likely
+	 * where the hash has it, and an engine that lacks it says so.
 	 */
 	if (!choice.endpoint && !forward->asks && !forward->arrivals) {
 		query.may_load = NULL;
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -69,8 +69,8 @@
 		 60000},
 		{"adapter_again_ms", SETTING_INT, &at->adapter_again_ms, "25",
 		 1, 60000},
-		{"adapter_loads_at_once", SETTING_INT,
-		 &at->adapter_loads_at_once, "8", 1, 100000},
+		{"adapter_loads_percent", SETTING_INT,
+		 &at->adapter_loads_percent, "67", 1, 10000},
 		{"prefill_per_s", SETTING_INT, &at->prefill_per_s, "38700", 1,
 		 100000000},
 		{"log_lines_max", SETTING_INT, &at->log_lines_max, "200", 1,
@@ -497,7 +497,8 @@
 				 front->settings.lease_ttl_min_ms),
 		.load_time = front->settings.adapter_load_ms,
 		.again_time = front->settings.adapter_again_ms,
-		.loads_at_once = (int)front->settings.adapter_loads_at_once,
+		.loads_per_engine =
+			(double)front->settings.adapter_loads_percent / 100,
 		.prefill_per_ms =
 			(double)front->settings.prefill_per_s / MS_PER_S,
 	};
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -35,7 +35,7 @@
 	int64_t repeat_slack;
 	int64_t adapter_load_ms;       /* from the store of weights */
 	int64_t adapter_again_ms;      /* when the engine held it recently */
-	int64_t adapter_loads_at_once; /* at full speed, at all engines */
+	int64_t adapter_loads_percent; /* at full speed, of the engines */
 	int64_t prefill_per_s;	       /* prompt tokens that an engine reads */
 	int64_t log_lines_max;	       /* of one event in a second */
 } front_settings_t;
--- a/lib/hold/adapter_cache.c
+++ b/lib/hold/adapter_cache.c
@@ -92,7 +92,6 @@
 			       const cache_options_t *options)
 {
 	cache->options.slot_count = options->slot_count;
-	cache->options.engines = options->engines;
 }
 
 static GList *find_at_hand(const adapter_cache_t *cache, const char *adapter)
@@ -202,8 +201,8 @@
 {
 	const cache_options_t *options = &cache->options;
 	const entry_t *entry;
-	ms_t each = options->load_time * options->engines /
-		    MAX(options->loads_at_once, 1);
+	ms_t each =
+		(ms_t)((double)options->load_time / options->loads_per_engine);
 	ms_t wait = 0;
 
 	if (find_at_hand(cache, adapter))
@@ -290,14 +289,12 @@
 
 static ms_t expected_time(adapter_cache_t *cache, const char *adapter)
 {
-	const cache_options_t *options = &cache->options;
 	ms_t usual = *load_time(cache, adapter);
-	int everywhere = count_coming(cache) * options->engines;
+	double crowd = count_coming(cache) / cache->options.loads_per_engine;
 
-	if (find_at_hand(cache, adapter) ||
-	    everywhere <= options->loads_at_once)
+	if (find_at_hand(cache, adapter) || crowd <= 1)
 		return usual;
-	return usual * everywhere / options->loads_at_once;
+	return (ms_t)((double)usual * crowd);
 }
 
 static void order_took_effect(adapter_cache_t *cache, ms_t now)
--- a/lib/hold/adapter_cache.h
+++ b/lib/hold/adapter_cache.h
@@ -114,11 +114,10 @@
 	ms_t load_time;	 /* of an adapter from the store of weights */
 	ms_t again_time; /* of one that the engine held recently */
 	/*
-	 * Loads of all engines that the store of weights carries at full speed,
-	 * and the engines; each engine is taken to be as busy as this one.
+	 * Loads that the store of weights carries at full speed for each
+	 * engine; the others are taken to be as busy as this one.
 	 */
-	int loads_at_once;
-	int engines;
+	double loads_per_engine;
 } cache_options_t;
 
 adapter_cache_t *adapter_cache_create(const cache_options_t *options,
--- a/t/unit/soak-hold.c
+++ b/t/unit/soak-hold.c
@@ -255,8 +255,7 @@
 	static const cache_options_t options = {.slot_count = SLOTS,
 						.load_time = 250,
 						.again_time = 25,
-						.loads_at_once = 8,
-						.engines = 2};
+						.loads_per_engine = 4};
 	world_t world = {.rand = g_rand_new_with_seed(seed)};
 	int i;
 
