--- a/t/unit/test-route.c
+++ b/t/unit/test-route.c
@@ -1,4 +1,5 @@
-/* Routes, repeats and the choice of an endpoint, each with the load it is for. */
+/* Routes, repeats and the choice of an endpoint, each with the load it is for.
+ */
 
 #include <setjmp.h>
 #include <stdarg.h>
