--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -23,6 +23,10 @@
 /* How often the planned stop looks whether it is done. */
 #define STOP_CHECK_MS 50
 
+/* Part of the time in which news has to be acted on that passes between polls.
+ */
+#define GATHER_PERCENT 30
+
 /* How often settings, removals and uses are looked at. */
 #define SWEEP_MS 500
 
@@ -60,6 +64,8 @@
 		 600000},
 		{"lease_ttl_min_ms", SETTING_INT, &at->lease_ttl_min_ms, "1000",
 		 1, 600000},
+		{"config_ms", SETTING_INT, &at->config_ms, "2000", 100, 600000},
+		{"drain_ms", SETTING_INT, &at->drain_ms, "2000", 100, 600000},
 		{"repeat_share", SETTING_TEXT, &at->repeat_share, "0.1", 0, 0},
 		{"repeat_window_s", SETTING_INT, &at->repeat_window_s, "10", 1,
 		 3600},
@@ -453,10 +459,12 @@
 
 static gboolean create_store(front_t *front, GError **error)
 {
+	ms_t bound = MIN(front->settings.config_ms, front->settings.drain_ms);
 	store_options_t options = {
 		.loop = process_loop(front->process),
 		.clock = front->clock,
 		.rand = front->rand,
+		.gather_time = bound * GATHER_PERCENT / 100,
 		.on_contact = on_contact,
 		.ctx = front,
 	};
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -30,7 +30,9 @@
 	int64_t order_gap_ms; /* between orders of two holders */
 	int64_t lease_ttl_ms;
 	int64_t lease_ttl_min_ms; /* that the store grants */
-	char *repeat_share;	  /* of the requests for a service */
+	int64_t config_ms;	  /* until a configuration has to be in force */
+	int64_t drain_ms;   /* until a leaving endpoint gets no new work */
+	char *repeat_share; /* of the requests for a service */
 	int64_t repeat_window_s;
 	int64_t repeat_slack;
 	int64_t adapter_load_ms;       /* from the store of weights */
