--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -22,6 +22,19 @@
 
 typedef struct adapters adapters_t;
 
+/* Why a request is not let through. */
+typedef enum {
+	REFUSAL_NOT_HELD, /* the engine's holder is not known or not reached */
+	REFUSAL_UNREACHABLE, /* the holder can't reach the engine */
+	REFUSAL_NO_ORDERS,   /* the holder may not order yet, or any more */
+	REFUSAL_NO_PLACE,    /* it would wait too long for a place */
+	REFUSAL_NO_SLOT,     /* all adapters there are in use */
+	REFUSAL_LOADS_AHEAD, /* too many loads are ahead, at all engines */
+	REFUSAL_COUNT
+} refusal_t;
+
+const char *refusal_name(refusal_t refusal);
+
 /* Names a question in later calls; never 0. */
 typedef int64_t ask_id_t;
 
@@ -30,12 +43,10 @@
 	void (*on_go)(void *ctx, ask_id_t ask, int64_t version, int running);
 	/* The holder has the question, and the request has to wait. */
 	void (*on_wait)(void *ctx, ask_id_t ask);
-	/*
-	 * Not there; worth another question after this time.  is_final: other
-	 * engines would be no better.  The id is void.
+	/* Not there; worth another question after this time.  The id is void.
 	 */
-	void (*on_refused)(void *ctx, ask_id_t ask, ms_t retry_after,
-			   gboolean is_final);
+	void (*on_refused)(void *ctx, ask_id_t ask, refusal_t refusal,
+			   ms_t retry_after);
 	/* An adapter is no longer usable at an engine. */
 	void (*on_dropped)(void *ctx, const char *engine, const char *adapter);
 	/* The service of an engine, or NULL while it is not known. */
--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -254,12 +254,12 @@
 }
 
 static void ask_refuse(held_engine_t *held, held_ask_t *ask, ms_t now,
-		       ms_t retry_after, gboolean is_final)
+		       refusal_t refusal, ms_t retry_after)
 {
 	holder_news_t news = {.type = MESSAGE_REFUSED,
 			      .ask = ask->id,
 			      .retry_after = retry_after,
-			      .is_final = is_final};
+			      .refusal = refusal};
 
 	counter_add(held->adapters->refused, 1);
 	adapters_answer(held->adapters, ask->asker, &news);
@@ -273,7 +273,7 @@
 
 	ask->ticket = gate_submit(held->gate, now, &ask->request, ask, &wait);
 	if (!ask->ticket) {
-		ask_refuse(held, ask, now, wait, FALSE);
+		ask_refuse(held, ask, now, REFUSAL_NO_PLACE, wait);
 		return FALSE;
 	}
 	if (ask->adapter)
@@ -291,10 +291,14 @@
 		next = TAILQ_NEXT(ask, link);
 		if (ask->ticket)
 			continue;
-		if (ask->is_refused || held->is_down)
-			ask_refuse(held, ask, now, ADAPTER_RETRY_MS, FALSE);
+		if (held->is_down)
+			ask_refuse(held, ask, now, REFUSAL_UNREACHABLE, 0);
+		else if (ask->is_refused)
+			ask_refuse(held, ask, now, REFUSAL_NO_SLOT,
+				   ADAPTER_RETRY_MS);
 		else if (now - ask->since > ask->load_max)
-			ask_refuse(held, ask, now, ADAPTER_RETRY_MS, TRUE);
+			ask_refuse(held, ask, now, REFUSAL_LOADS_AHEAD,
+				   ADAPTER_RETRY_MS);
 		else if (adapter_cache_version(held->cache, ask->adapter))
 			ask_submit(held, ask, now);
 	}
@@ -321,7 +325,7 @@
 	held->call_at = 0;
 	while ((ask = TAILQ_FIRST(&held->asks))) {
 		if (!ask->ticket || ticket_is_waiting(ask->ticket))
-			ask_refuse(held, ask, now, 0, FALSE);
+			ask_refuse(held, ask, now, REFUSAL_NOT_HELD, 0);
 		else
 			ask_free(held, ask, now);
 	}
@@ -449,7 +453,7 @@
 	ask->load_max = question->load_max;
 	TAILQ_INSERT_TAIL(&held->asks, ask, link);
 	if (!held->cache || held->is_down) {
-		ask_refuse(held, ask, now, 0, FALSE);
+		ask_refuse(held, ask, now, REFUSAL_UNREACHABLE, 0);
 		return;
 	}
 	if (ask->adapter) {
@@ -459,13 +463,14 @@
 	}
 	if (ask->adapter && !may_order(held, now) &&
 	    !adapter_cache_version(held->cache, ask->adapter)) {
-		ask_refuse(held, ask, now, 0, FALSE);
+		ask_refuse(held, ask, now, REFUSAL_NO_ORDERS, 0);
 		return;
 	}
 	if (ask->adapter && !adapter_cache_version(held->cache, ask->adapter)) {
 		load_wait = adapter_cache_load_wait(held->cache, ask->adapter);
 		if (load_wait > ask->load_max) {
-			ask_refuse(held, ask, now, load_wait, TRUE);
+			ask_refuse(held, ask, now, REFUSAL_LOADS_AHEAD,
+				   load_wait);
 			return;
 		}
 	}
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -27,6 +27,20 @@
 	g_free(asked);
 }
 
+const char *refusal_name(refusal_t refusal)
+{
+	static const char *const names[] = {
+		[REFUSAL_NOT_HELD] = "no holder of the engine in reach",
+		[REFUSAL_UNREACHABLE] = "the holder can't reach the engine",
+		[REFUSAL_NO_ORDERS] = "the holder may not order now",
+		[REFUSAL_NO_PLACE] = "no place at the engine in time",
+		[REFUSAL_NO_SLOT] = "all adapters of the engine are in use",
+		[REFUSAL_LOADS_AHEAD] = "too many loads are ahead",
+	};
+
+	return names[refusal];
+}
+
 static void forget_asked(adapters_t *adapters, ask_id_t id)
 {
 	g_hash_table_remove(adapters->asked, &id);
@@ -54,7 +68,7 @@
 	} else {
 		forget_asked(adapters, news->ask);
 		adapters->events.on_refused(adapters->ctx, news->ask,
-					    news->retry_after, news->is_final);
+					    news->refusal, news->retry_after);
 	}
 }
 
@@ -105,7 +119,7 @@
 		codec_write_int(&writer, news->version);
 		codec_write_int(&writer, news->running);
 		codec_write_int(&writer, news->retry_after);
-		codec_write_bool(&writer, news->is_final);
+		codec_write_int(&writer, news->refusal);
 	}
 	conn_send(asker, &writer);
 }
@@ -228,7 +242,8 @@
 		news.version = codec_read_int(&reader, 0, INT64_MAX);
 		news.running = (int)codec_read_int(&reader, 0, G_MAXINT);
 		news.retry_after = codec_read_int(&reader, 0, INT64_MAX);
-		news.is_final = codec_read_bool(&reader);
+		news.refusal = (refusal_t)codec_read_int(&reader, 0,
+							 REFUSAL_COUNT - 1);
 	}
 	if (type < MESSAGE_GO || type > MESSAGE_DROPPED ||
 	    !codec_read_end(&reader))
@@ -266,7 +281,8 @@
 		ask_id_t ask = g_array_index(lost, ask_id_t, i);
 
 		forget_asked(adapters, ask);
-		adapters->events.on_refused(adapters->ctx, ask, 0, FALSE);
+		adapters->events.on_refused(adapters->ctx, ask,
+					    REFUSAL_NOT_HELD, 0);
 	}
 	g_array_free(lost, TRUE);
 }
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -31,7 +31,7 @@
 	int64_t version;     /* of GO */
 	int running;	     /* of GO */
 	ms_t retry_after;    /* of REFUSED */
-	gboolean is_final;   /* of REFUSED: other engines are no better */
+	refusal_t refusal;   /* of REFUSED */
 	const char *engine;  /* of DROPPED */
 	const char *adapter; /* of DROPPED */
 } holder_news_t;
@@ -45,8 +45,8 @@
 	gate_request_t request;
 	ms_t since;
 	ms_t load_max;
-	ticket_t *ticket; /* NULL while it waits for its adapter */
-	gboolean is_refused;
+	ticket_t *ticket;    /* NULL while it waits for its adapter */
+	gboolean is_refused; /* by the adapters of the engine */
 } held_ask_t;
 
 TAILQ_HEAD(held_ask_list, held_ask);
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -75,6 +75,7 @@
 	forward_state_t state;
 	fleet_endpoint_t *endpoint; /* where it is, or waits for its adapter */
 	exchange_t *exchange;
+	char *last_endpoint; /* asked for or sent to, for the log */
 	GPtrArray *tried;    /* fleet_endpoint_t that it does not go to again */
 	ask_id_t ask;	     /* at the holder of the engine; 0 for none */
 	gboolean is_queued;  /* the holder said that it has to wait */
@@ -116,6 +117,7 @@
 	g_byte_array_free(forward->held, TRUE);
 	g_string_free(forward->event, TRUE);
 	g_free(forward->last_event);
+	g_free(forward->last_endpoint);
 	g_free(forward->model);
 	route_table_unref(forward->routes);
 	g_free(forward);
@@ -156,7 +158,7 @@
 {
 	ms_t took = now_of(forward) - call_arrived_at(forward->call);
 	int64_t version = route_table_version(forward->routes);
-	number_t room[7];
+	number_t room[8];
 
 	log_info("request", "id", forward->fields.id, "route",
 		 forward->route->name, "outcome", outcome, "status",
@@ -165,9 +167,10 @@
 		 number(&room[3], forward->first_byte), "gap_ms",
 		 number(&room[6], forward->gap), "sends",
 		 number(&room[4], forward->arrivals), "endpoint",
-		 forward->endpoint ? fleet_endpoint_id(forward->endpoint) : "",
-		 "adapter", forward->adapter, "config",
-		 number(&room[5], version), "why", forward->why, NULL);
+		 forward->last_endpoint, "asks",
+		 number(&room[7], forward->asks), "adapter", forward->adapter,
+		 "config", number(&room[5], version), "why", forward->why,
+		 NULL);
 }
 
 /* The call has ended, or is about to be ended by the caller of this. */
@@ -757,6 +760,8 @@
 		return;
 	}
 	forward->endpoint = fleet_endpoint_ref(choice.endpoint);
+	g_free(forward->last_endpoint);
+	forward->last_endpoint = g_strdup(fleet_endpoint_id(choice.endpoint));
 	if (choice.replica)
 		want_replica(front, choice.replica, forward->adapter);
 	if (forward->model && may_load(front, choice.endpoint))
@@ -802,8 +807,8 @@
 	fleet_endpoint_note_load(forward->endpoint, now, &load);
 }
 
-void forward_refused(front_t *front, ask_id_t ask, ms_t retry_after,
-		     gboolean is_final)
+void forward_refused(front_t *front, ask_id_t ask, refusal_t refusal,
+		     ms_t retry_after)
 {
 	forward_t *forward = find_ask(front, ask);
 
@@ -816,12 +821,12 @@
 	if (retry_after &&
 	    (!forward->retry_after || retry_after < forward->retry_after))
 		forward->retry_after = retry_after;
-	if (!is_final) {
-		forward->why = "no room at the engine";
+	forward->why = refusal_name(refusal);
+	/* Another engine would have to load the adapter as well. */
+	if (refusal != REFUSAL_LOADS_AHEAD) {
 		ask_elsewhere(forward);
 		return;
 	}
-	forward->why = "too many adapters wait";
 	forward->wait += now_of(forward) - forward->asked_at;
 	leave_endpoint(forward);
 	if (forward->is_begun)
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -285,10 +285,10 @@
 	forward_wait(ctx, ask);
 }
 
-static void on_refused(void *ctx, ask_id_t ask, ms_t retry_after,
-		       gboolean is_final)
+static void on_refused(void *ctx, ask_id_t ask, refusal_t refusal,
+		       ms_t retry_after)
 {
-	forward_refused(ctx, ask, retry_after, is_final);
+	forward_refused(ctx, ask, refusal, retry_after);
 }
 
 static void on_dropped(void *ctx, const char *engine, const char *adapter)
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -85,8 +85,8 @@
 /* What became of a question to the holder of an engine. */
 void forward_go(front_t *front, ask_id_t ask, int64_t version, int running);
 void forward_wait(front_t *front, ask_id_t ask);
-void forward_refused(front_t *front, ask_id_t ask, ms_t retry_after,
-		     gboolean is_final);
+void forward_refused(front_t *front, ask_id_t ask, refusal_t refusal,
+		     ms_t retry_after);
 
 /* An endpoint takes no more requests: what waits for it goes elsewhere. */
 void forward_endpoint_gone(front_t *front, const char *id);
