--- a/t/lib/deploy.sh
+++ b/t/lib/deploy.sh
@@ -19,6 +19,7 @@
 #	kill_now NAME			SIGKILL and wait
 #	freeze NAME, thaw NAME		SIGSTOP, SIGCONT
 #	wait_for COMMAND [ARG...]	until it succeeds, or fail
+#	within_seconds N COMMAND [ARG...]	the same, within a stated bound
 #	expect LABEL COMMAND [ARG...] <<\END	compare its output, or fail
 #	fail MESSAGE			print the logs and end with status 1
 #	finish				end well, if no program has ended by
@@ -104,6 +105,17 @@
 	done
 }
 
+within_seconds () {
+	limit=$(($(date +%s%N) / 1000000 + $1 * 1000))
+	shift
+	until "$@" >/dev/null 2>&1
+	do
+		test "$(($(date +%s%N) / 1000000))" -lt "$limit" ||
+			fail "not in time: $*"
+		sleep "$WAIT_PAUSE"
+	done
+}
+
 settings () {
 	cat >"$work/$1.json"
 }
--- a/t/t0803-front-fleet.sh
+++ b/t/t0803-front-fleet.sh
@@ -72,7 +72,16 @@
 200
 END
 is_ready 1 || fail 'not ready without the store'
+# Long enough that a poll has begun which the store will never answer.
+sleep 2
 control store mode=up
+write_config 3 "$default_routes
+back /back/ idempotent desk 1000 1"
+back () {
+	test "$(code 1 /back/x)" = 200 && test "$(code 2 /back/x)" = 200
+}
+# The bound is 2 s after the store is back; the looks take some time too.
+within_seconds 2 back
 wait_for grep -q 'store regained' "$work/front1.out"
 control store compact=1
 write_config 4 "$default_routes
