hold, front: let two instances poll the store for all

Two instances, chosen by a rendezvous hash, now poll as often and tell the others over their connections what means something; the others poll at least once in six poll times, and at once as often as before when they have heard nothing for three. Items are taken by revision, and what is gone keeps its revision, so that late news changes nothing.

Ruled out: longer polls for all (the bound of a configuration), stale reads (may be seconds old), all events by the watchers (30 Mbit/s on links of 10).

--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -298,6 +298,8 @@
 		holdings_set_instance(adapters->holdings, now, name,
 				      item->value ? item->lease : 0);
 		adapters_peers_instance(adapters, name, item->value);
+		adapters->events.on_instance(adapters->ctx, name,
+					     item->value != NULL);
 	} else if (g_str_has_prefix(item->key, KEY_ENGINE)) {
 		take_record(adapters, item->key + strlen(KEY_ENGINE), item);
 	}
--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -49,6 +49,10 @@
 			   ms_t retry_after);
 	/* An adapter is no longer usable at an engine. */
 	void (*on_dropped)(void *ctx, const char *engine, const char *adapter);
+	/* An instance that polls for all tells of items; maybe of none. */
+	void (*on_news)(void *ctx, const kv_item_t *items, size_t count);
+	/* An instance came, or is gone. */
+	void (*on_instance)(void *ctx, const char *instance, gboolean is_alive);
 	/* The service of an engine, or NULL while it is not known. */
 	const service_t *(*service)(void *ctx, const fleet_endpoint_t *engine);
 	/* The version of an adapter that was declared last; 0 for none. */
@@ -111,6 +115,10 @@
 void adapters_want(adapters_t *adapters, const char *engine,
 		   const char *adapter, int64_t version);
 
+/* Tell all other instances of items. */
+void adapters_tell_news(adapters_t *adapters, const kv_item_t *items,
+			size_t count);
+
 /* Instances that are known to be alive, this one counted; at least 1. */
 guint adapters_instance_count(const adapters_t *adapters);
 
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -189,6 +189,49 @@
 	g_free(adapter);
 }
 
+/* Items of one message; a watcher sends what one poll brought. */
+#define NEWS_ITEMS_MAX 10000
+
+static void item_clear(gpointer data)
+{
+	kv_item_t *item = data;
+
+	g_free(item->key);
+	g_free(item->value);
+}
+
+static void take_news(adapters_t *adapters, conn_t *conn,
+		      codec_reader_t *reader)
+{
+	GArray *items = g_array_new(FALSE, TRUE, sizeof(kv_item_t));
+	codec_reader_t rows;
+
+	g_array_set_clear_func(items, item_clear);
+	codec_read_array(reader, &rows);
+	while (rows.left && !rows.is_failed && items->len < NEWS_ITEMS_MAX) {
+		kv_item_t item = {0};
+		const char *value;
+
+		item.key = codec_read_text(&rows, NAME_MAX_BYTES);
+		item.revision = codec_read_int(&rows, 0, INT64_MAX);
+		item.lease = codec_read_int(&rows, 0, INT64_MAX);
+		if (codec_read_bool(&rows)) {
+			value = codec_read_bytes(&rows, &item.size);
+			item.value = value ? g_strndup(value, item.size) : NULL;
+		}
+		if (item.key)
+			g_array_append_val(items, item);
+	}
+	if (rows.is_failed || rows.left || !codec_read_end(reader))
+		log_unreadable(conn_peer_instance(conn));
+	else
+		adapters->events.on_news(
+			adapters->ctx,
+			(const kv_item_t *)(const void *)items->data,
+			items->len);
+	g_array_free(items, TRUE);
+}
+
 /* A message of an instance that connected here. */
 static void on_request(void *ctx, conn_t *conn, const msgpack_object *message)
 {
@@ -202,6 +245,8 @@
 		take_done(ctx, conn, &reader);
 	else if (type == MESSAGE_WANT)
 		take_want(ctx, conn, &reader);
+	else if (type == MESSAGE_NEWS)
+		take_news(ctx, conn, &reader);
 	else
 		log_unreadable(conn_peer_instance(conn));
 }
@@ -432,3 +477,47 @@
 	codec_write_int(&writer, version);
 	peers_send(adapters->peers, holder, &writer);
 }
+
+/* Members of an item in a message, but for a value that is gone. */
+#define NEWS_MEMBERS 4
+
+typedef struct {
+	adapters_t *adapters;
+	const kv_item_t *items;
+	size_t count;
+} telling_t;
+
+static void tell_peer(void *ctx, const char *name, gboolean is_up)
+{
+	const telling_t *at = ctx;
+	codec_writer_t writer;
+	uint32_t members = 0;
+	size_t i;
+
+	if (!is_up)
+		return;
+	for (i = 0; i < at->count; i++)
+		members += NEWS_MEMBERS + (at->items[i].value != NULL);
+	codec_write_init(&writer, MESSAGE_NEWS, 1);
+	codec_write_array(&writer, members);
+	for (i = 0; i < at->count; i++) {
+		const kv_item_t *item = &at->items[i];
+
+		codec_write_text(&writer, item->key);
+		codec_write_int(&writer, item->revision);
+		codec_write_int(&writer, item->lease);
+		codec_write_bool(&writer, item->value != NULL);
+		if (item->value)
+			codec_write_bytes(&writer, item->value, item->size);
+	}
+	peers_send(at->adapters->peers, name, &writer);
+}
+
+void adapters_tell_news(adapters_t *adapters, const kv_item_t *items,
+			size_t count)
+{
+	telling_t at = {adapters, items, count};
+
+	if (adapters->peers)
+		peers_each(adapters->peers, tell_peer, &at);
+}
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -176,18 +176,23 @@
 			    g_memdup2(&due, sizeof(due)));
 }
 
-static void take_endpoint(front_t *front, const char *id, const kv_item_t *item)
+/* TRUE if it says something new: heartbeats change what is of no use here. */
+static gboolean take_endpoint(front_t *front, const char *id,
+			      const kv_item_t *item)
 {
 	decoded_endpoint_t decoded;
 	fleet_endpoint_t *former = fleet_find(front->fleet, id);
 	fleet_endpoint_t *endpoint;
+	const char *model = NULL;
+	gboolean had_model;
+	gboolean is_new;
 	gboolean was_usable = former && fleet_endpoint_is_usable(former);
 	GError *error = NULL;
 
 	if (!item->value) {
 		if (former)
 			endpoint_is_gone(front, id);
-		return;
+		return TRUE;
 	}
 	g_hash_table_remove(front->removals, id);
 	if (!decode_endpoint(id, item->value, item->size, &decoded, &error)) {
@@ -195,9 +200,14 @@
 		g_clear_error(&error);
 		if (former)
 			drop_endpoint(front, id);
-		return;
+		return TRUE;
 	}
+	if (decoded.info.models)
+		model = decoded.info.models[0];
+	had_model = former && fleet_endpoint_has_model(former, model);
 	endpoint = fleet_set(front->fleet, &decoded.info);
+	is_new = endpoint != former || !had_model ||
+		 fleet_endpoint_is_usable(endpoint) != was_usable;
 	if (endpoint != former ||
 	    fleet_endpoint_is_usable(endpoint) != was_usable)
 		log_item("endpoint listed", item,
@@ -209,6 +219,7 @@
 	if (endpoint != former ||
 	    (was_usable && !fleet_endpoint_is_usable(endpoint)))
 		forward_endpoint_gone(front, id);
+	return is_new;
 }
 
 static void take_version(front_t *front, const kv_item_t *item)
@@ -237,9 +248,8 @@
 			    g_memdup2(&version, sizeof(version)));
 }
 
-static void on_item(void *ctx, const kv_item_t *item)
+static gboolean take_item(front_t *front, const kv_item_t *item)
 {
-	front_t *front = ctx;
 	const char *name;
 
 	switch (decode_key(item->key, &name)) {
@@ -247,8 +257,7 @@
 		take_configuration(front, item);
 		break;
 	case ITEM_ENDPOINT:
-		take_endpoint(front, name, item);
-		break;
+		return take_endpoint(front, name, item);
 	case ITEM_VERSION:
 		take_version(front, item);
 		break;
@@ -257,12 +266,65 @@
 		share_connections(front);
 		break;
 	}
+	return TRUE;
+}
+
+static void on_item(void *ctx, const kv_item_t *item)
+{
+	front_t *front = ctx;
+	kv_item_t copy = *item;
+
+	if (!take_item(front, item) || !relay_is_watcher(front->relay))
+		return;
+	copy.key = g_strdup(item->key);
+	copy.value =
+		item->value ? g_memdup2(item->value, item->size + 1) : NULL;
+	g_array_append_val(front->news, copy);
+}
+
+/* After each poll, also one without news: the others then need none. */
+static void on_polled(void *ctx)
+{
+	front_t *front = ctx;
+
+	if (relay_is_watcher(front->relay) && front->adapters)
+		adapters_tell_news(
+			front->adapters,
+			(const kv_item_t *)(const void *)front->news->data,
+			front->news->len);
+	g_array_set_size(front->news, 0);
+}
+
+static gboolean may_skip(void *ctx, ms_t last)
+{
+	front_t *front = ctx;
+
+	return relay_may_skip(front->relay, ms_clock_now(front->clock), last);
+}
+
+static void on_news(void *ctx, const kv_item_t *items, size_t count)
+{
+	front_t *front = ctx;
+	size_t i;
+
+	relay_heard(front->relay, ms_clock_now(front->clock));
+	for (i = 0; i < count; i++)
+		mirror_take(front->mirror, &items[i]);
+}
+
+static void on_instance(void *ctx, const char *instance, gboolean is_alive)
+{
+	front_t *front = ctx;
+
+	relay_set_instance(front->relay, instance, is_alive);
 }
 
 static void on_synced(void *ctx)
 {
 	front_t *front = ctx;
 
+	/* The others have read them too. */
+	g_array_set_size(front->news, 0);
 	log_info("items read", NULL, NULL);
 	adapters_on_synced(front->adapters);
 }
@@ -457,14 +519,22 @@
 	return TRUE;
 }
 
-static gboolean create_store(front_t *front, GError **error)
+static ms_t gather_time(const front_t *front)
 {
 	ms_t bound = MIN(front->settings.config_ms, front->settings.drain_ms);
+
+	return bound * GATHER_PERCENT / 100;
+}
+
+static gboolean create_store(front_t *front, GError **error)
+{
 	store_options_t options = {
 		.loop = process_loop(front->process),
 		.clock = front->clock,
 		.rand = front->rand,
-		.gather_time = bound * GATHER_PERCENT / 100,
+		.gather_time = gather_time(front),
+		.may_skip = may_skip,
+		.on_polled = on_polled,
 		.on_contact = on_contact,
 		.ctx = front,
 	};
@@ -493,6 +563,8 @@
 		.on_wait = on_wait,
 		.on_refused = on_refused,
 		.on_dropped = on_dropped,
+		.on_news = on_news,
+		.on_instance = on_instance,
 		.service = service_of,
 		.declared = declared_of,
 	};
@@ -546,6 +618,9 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	front->wants =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	front->news = kv_items_create();
+	front->relay = relay_create(process_settings(process)->instance,
+				    gather_time(front));
 	front->asks = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					    NULL);
 	create_metrics(front);
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -11,6 +11,7 @@
 #include "front/front.h"
 #include "front/link.h"
 #include "front/mirror.h"
+#include "hold/relay.h"
 #include "platform/headers.h"
 #include "route/fleet.h"
 #include "route/repeat_budget.h"
@@ -56,6 +57,8 @@
 	GHashTable *removals;  /* endpoints to be dropped: id to time */
 	ms_t store_back_at;    /* when the store was regained last */
 	adapters_t *adapters;
+	relay_t *relay;
+	GArray *news; /* kv_item_t to be told after the present poll */
 	callers_t *callers;
 	links_t *links;
 	repeat_budget_t *budget;
--- a/lib/front/mirror.c
+++ b/lib/front/mirror.c
@@ -5,6 +5,7 @@
 typedef struct {
 	int64_t revision;
 	guint round; /* of the reading that saw it last */
+	gboolean is_gone;
 } seen_t;
 
 struct mirror {
@@ -41,17 +42,13 @@
 		seen->round = mirror->round;
 		return;
 	}
-	if (!item->value) {
-		g_hash_table_remove(mirror->seen, item->key);
-		mirror->events.on_item(mirror->ctx, item);
-		return;
-	}
 	if (!seen) {
 		seen = g_new0(seen_t, 1);
 		g_hash_table_insert(mirror->seen, g_strdup(item->key), seen);
 	}
 	seen->revision = item->revision;
 	seen->round = mirror->round;
+	seen->is_gone = !item->value;
 	mirror->events.on_item(mirror->ctx, item);
 }
 
@@ -80,7 +77,9 @@
 
 	g_hash_table_iter_init(&iter, mirror->seen);
 	while (g_hash_table_iter_next(&iter, &key, &seen)) {
-		if (((const seen_t *)seen)->round != mirror->round)
+		const seen_t *at = seen;
+
+		if (at->round != mirror->round && !at->is_gone)
 			g_ptr_array_add(missing, g_strdup(key));
 	}
 	for (i = 0; i < missing->len; i++) {
@@ -139,6 +138,12 @@
 	return mirror;
 }
 
+void mirror_take(mirror_t *mirror, const kv_item_t *item)
+{
+	if (mirror->is_synced)
+		hand_out(mirror, item);
+}
+
 gboolean mirror_is_synced(const mirror_t *mirror)
 {
 	return mirror->is_synced;
--- a/lib/front/mirror.h
+++ b/lib/front/mirror.h
@@ -7,7 +7,8 @@
  * Each item is handed out when it is first read and whenever it changes; an
  * item without a value is gone.  When the service has dropped the history that
  * the watch needs, all items are read anew, and those that are missing are
- * handed out as gone.  Revisions of one key only grow.
+ * handed out as gone.  Revisions of one key only grow, also when other
+ * instances tell of items (mirror_take()): what is older is passed over.
  */
 
 #include <uv.h>
@@ -32,6 +33,9 @@
 
 gboolean mirror_is_synced(const mirror_t *mirror);
 
+/* An item that another instance read. */
+void mirror_take(mirror_t *mirror, const kv_item_t *item);
+
 /* The newest revision of the service that was read. */
 int64_t mirror_revision(const mirror_t *mirror);
 
--- /dev/null
+++ b/lib/hold/relay.c
@@ -0,0 +1,77 @@
+#include "hold/relay.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+
+/* The key by which watchers are chosen. */
+static const char watcher_key[] = "news";
+
+struct relay {
+	char *instance;
+	ms_t poll_time;
+	GHashTable *alive; /* names of instances */
+	gboolean has_heard;
+	ms_t heard_at;
+};
+
+relay_t *relay_create(const char *instance, ms_t poll_time)
+{
+	relay_t *relay = g_new0(relay_t, 1);
+
+	relay->instance = g_strdup(instance);
+	relay->poll_time = poll_time;
+	relay->alive =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return relay;
+}
+
+void relay_destroy(relay_t *relay)
+{
+	g_hash_table_destroy(relay->alive);
+	g_free(relay->instance);
+	g_free(relay);
+}
+
+void relay_set_instance(relay_t *relay, const char *instance, gboolean is_alive)
+{
+	if (is_alive)
+		g_hash_table_add(relay->alive, g_strdup(instance));
+	else
+		g_hash_table_remove(relay->alive, instance);
+}
+
+static gboolean is_known(const relay_t *relay)
+{
+	return g_hash_table_contains(relay->alive, relay->instance);
+}
+
+gboolean relay_is_watcher(const relay_t *relay)
+{
+	uint64_t own = hash_rendezvous(watcher_key, relay->instance);
+	GHashTableIter iter;
+	gpointer name;
+	int better = 0;
+
+	if (!is_known(relay))
+		return FALSE;
+	g_hash_table_iter_init(&iter, relay->alive);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		better += hash_rendezvous(watcher_key, name) > own;
+	return better < RELAY_WATCHERS;
+}
+
+void relay_heard(relay_t *relay, ms_t now)
+{
+	relay->has_heard = TRUE;
+	relay->heard_at = now;
+}
+
+gboolean relay_may_skip(const relay_t *relay, ms_t now, ms_t last)
+{
+	/* Nobody tells one that the others do not know. */
+	if (!relay->has_heard || !is_known(relay) || relay_is_watcher(relay))
+		return FALSE;
+	return now - relay->heard_at < RELAY_SILENT_POLLS * relay->poll_time &&
+	       now - last < RELAY_SKIPS_MAX * relay->poll_time;
+}
--- /dev/null
+++ b/lib/hold/relay.h
@@ -0,0 +1,50 @@
+#ifndef HOLD_RELAY_H
+#define HOLD_RELAY_H
+
+/*
+ * Who polls the key-value service for news, and who is told by them.
+ *
+ * Calls of the service are priced and its rates grow more slowly than the
+ * fleet.  So a few instances, chosen by a rendezvous hash over those that are
+ * alive, poll it as often as news has to be acted on, and tell the others after
+ * each poll.  The others poll it rarely while they are told, and as often
+ * themselves once they have heard nothing for some time.  Two instances may
+ * choose differently for a moment; that costs calls and nothing else.
+ *
+ * Decision code: the time comes in with each call.
+ */
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* Instances that poll for all; one may die unnoticed for a moment. */
+#define RELAY_WATCHERS 2
+
+/* Without news of a watcher for so many poll times, an instance polls itself.
+ */
+#define RELAY_SILENT_POLLS 3
+
+/* An instance that is told polls at least once in so many poll times. */
+#define RELAY_SKIPS_MAX 6
+
+typedef struct relay relay_t;
+
+/* poll_time: from one poll to the next of an instance that polls for all. */
+relay_t *relay_create(const char *instance, ms_t poll_time);
+void relay_destroy(relay_t *relay);
+
+/* An instance is alive, or no longer. */
+void relay_set_instance(relay_t *relay, const char *instance,
+			gboolean is_alive);
+
+/* Whether this instance polls for all. */
+gboolean relay_is_watcher(const relay_t *relay);
+
+/* A watcher has told what it knows. */
+void relay_heard(relay_t *relay, ms_t now);
+
+/* Whether a poll that is due may be left out; last is the time of the last. */
+gboolean relay_may_skip(const relay_t *relay, ms_t now, ms_t last);
+
+#endif
