front, route: tell the load of an engine with refusals, and ask more of them

With 60 engines the hottest adapter needs six of them. A refusal now tells the engine's load, the mean counts engines whose load is known, five engines are asked, and the last may make a request wait until twice its goal.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -40,7 +40,10 @@
 
 typedef struct {
 	/* The request may be sent now; the adapter has this version there. */
-	void (*on_go)(void *ctx, ask_id_t ask, int64_t version, int running);
+	void (*on_go)(void *ctx, ask_id_t ask, int64_t version);
+	/* What a holder tells of its engine with an answer. */
+	void (*on_load)(void *ctx, const char *engine, int running,
+			int waiting);
 	/* The holder has the question, and the request has to wait. */
 	void (*on_wait)(void *ctx, ask_id_t ask);
 	/* Not there; worth another question after this time.  The id is void.
--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -215,7 +215,8 @@
 	held_ask_t *ask = ticket_data(ticket);
 	holder_news_t news = {.type = MESSAGE_GO,
 			      .ask = ask->id,
-			      .running = gate_running(held->gate)};
+			      .running = gate_running(held->gate),
+			      .waiting = gate_waiting(held->gate)};
 
 	if (ask->adapter) {
 		news.version = adapter_cache_version(held->cache, ask->adapter);
@@ -261,6 +262,11 @@
 			      .retry_after = retry_after,
 			      .refusal = refusal};
 
+	if (held->gate) {
+		news.running = gate_running(held->gate);
+		news.waiting = gate_waiting(held->gate);
+	}
+
 	counter_add(held->adapters->refused, 1);
 	adapters_answer(held->adapters, ask->asker, &news);
 	ask_free(held, ask, now);
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -63,9 +63,13 @@
 		adapters->events.on_wait(adapters->ctx, news->ask);
 	} else if (news->type == MESSAGE_GO) {
 		asked->is_let_through = TRUE;
-		adapters->events.on_go(adapters->ctx, news->ask, news->version,
-				       news->running);
+		adapters->events.on_load(adapters->ctx, asked->engine,
+					 news->running, news->waiting);
+		adapters->events.on_go(adapters->ctx, news->ask, news->version);
 	} else {
+		if (news->running || news->waiting)
+			adapters->events.on_load(adapters->ctx, asked->engine,
+						 news->running, news->waiting);
 		forget_asked(adapters, news->ask);
 		adapters->events.on_refused(adapters->ctx, news->ask,
 					    news->refusal, news->retry_after);
@@ -114,10 +118,11 @@
 		codec_write_text(&writer, news->engine);
 		codec_write_text(&writer, news->adapter);
 	} else {
-		codec_write_init(&writer, news->type, 5);
+		codec_write_init(&writer, news->type, 6);
 		codec_write_int(&writer, news->ask);
 		codec_write_int(&writer, news->version);
 		codec_write_int(&writer, news->running);
+		codec_write_int(&writer, news->waiting);
 		codec_write_int(&writer, news->retry_after);
 		codec_write_int(&writer, news->refusal);
 	}
@@ -286,6 +291,7 @@
 		news.ask = codec_read_int(&reader, 1, INT64_MAX);
 		news.version = codec_read_int(&reader, 0, INT64_MAX);
 		news.running = (int)codec_read_int(&reader, 0, G_MAXINT);
+		news.waiting = (int)codec_read_int(&reader, 0, G_MAXINT);
 		news.retry_after = codec_read_int(&reader, 0, INT64_MAX);
 		news.refusal = (refusal_t)codec_read_int(&reader, 0,
 							 REFUSAL_COUNT - 1);
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -30,7 +30,8 @@
 	message_type_t type;
 	ask_id_t ask;
 	int64_t version;     /* of GO */
-	int running;	     /* of GO */
+	int running;	     /* of GO and REFUSED: requests at the engine */
+	int waiting;	     /* likewise, at its holder */
 	ms_t retry_after;    /* of REFUSED */
 	refusal_t refusal;   /* of REFUSED */
 	const char *engine;  /* of DROPPED */
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -20,7 +20,7 @@
 #define RETRY_FULL_MS 250
 
 /* Engines whose holders are asked before the request is refused. */
-#define ASKS_MAX 3
+#define ASKS_MAX 5
 
 /* Times that an engine may lack an adapter that its holder presumed there. */
 #define MISSES_MAX 4
@@ -34,11 +34,13 @@
 #define GOAL_RESERVE_MS 150
 /* A request may wait so long for its place in any case. */
 #define WAIT_MIN_MS 100
-/* The first engine that is asked: the longest wait for a place there. */
+/* The longest wait for a place at an engine while others may have one. */
 #define FIRST_WAIT_MS 150
-/* The last engine that is asked: part of the time left. */
-#define LAST_WAIT_PART 3
+/* The last engine that is asked: callers leave after four times the goal. */
+#define LAST_WAIT_GOALS 2
 
+/* Part of the time left in which an adapter has to come. */
+#define LOAD_WAIT_PART 3
 /* A request may wait so long for its adapter. */
 #define LOAD_WAIT_MAX_MS 1800
 
@@ -673,15 +675,12 @@
 static ms_t wait_max(const forward_t *forward, ms_t now)
 {
 	ms_t passed = now - call_arrived_at(forward->call);
-	ms_t wait = forward->route->goal - passed - GOAL_RESERVE_MS;
+	ms_t goal = forward->route->goal;
 
-	wait = MAX(wait, WAIT_MIN_MS);
-	/* Another engine may be less busy. */
-	if (forward->asks <= 1)
-		wait = MIN(wait, FIRST_WAIT_MS);
-	if (forward->asks >= ASKS_MAX)
-		wait = MAX(wait, (forward->ends_at - now) / LAST_WAIT_PART);
-	return wait;
+	if (forward->asks < ASKS_MAX)
+		return FIRST_WAIT_MS;
+	return MAX(goal * LAST_WAIT_GOALS - passed - GOAL_RESERVE_MS,
+		   WAIT_MIN_MS);
 }
 
 static void forward_ask(forward_t *forward, ms_t now)
@@ -703,7 +702,7 @@
 	else
 		forward->asks++;
 	ask.request.wait_max = wait_max(forward, now);
-	ask.load_max = MIN((forward->ends_at - now) / LAST_WAIT_PART,
+	ask.load_max = MIN((forward->ends_at - now) / LOAD_WAIT_PART,
 			   LOAD_WAIT_MAX_MS);
 	forward->state = FORWARD_WAITING;
 	forward->asked_at = now;
@@ -785,11 +784,10 @@
 	set_timer(forward);
 }
 
-void forward_go(front_t *front, ask_id_t ask, int64_t version, int running)
+void forward_go(front_t *front, ask_id_t ask, int64_t version)
 {
 	forward_t *forward = find_ask(front, ask);
 	ms_t now = ms_clock_now(front->clock);
-	endpoint_load_t load = {.running = running};
 
 	if (!forward || forward->state != FORWARD_WAITING)
 		return;
@@ -803,8 +801,6 @@
 		return;
 	}
 	forward_send(forward);
-	load.places = fleet_endpoint_places(forward->endpoint);
-	fleet_endpoint_note_load(forward->endpoint, now, &load);
 }
 
 void forward_refused(front_t *front, ask_id_t ask, refusal_t refusal,
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -337,9 +337,21 @@
 		front->store_back_at = ms_clock_now(front->clock);
 }
 
-static void on_go(void *ctx, ask_id_t ask, int64_t version, int running)
+static void on_go(void *ctx, ask_id_t ask, int64_t version)
 {
-	forward_go(ctx, ask, version, running);
+	forward_go(ctx, ask, version);
+}
+
+static void on_load(void *ctx, const char *engine, int running, int waiting)
+{
+	front_t *front = ctx;
+	fleet_endpoint_t *endpoint = fleet_find(front->fleet, engine);
+	endpoint_load_t load = {.running = running, .waiting = waiting};
+
+	if (!endpoint)
+		return;
+	load.places = fleet_endpoint_places(endpoint);
+	fleet_endpoint_note_load(endpoint, ms_clock_now(front->clock), &load);
 }
 
 static void on_wait(void *ctx, ask_id_t ask)
@@ -560,6 +572,7 @@
 {
 	static const adapters_events_t events = {
 		.on_go = on_go,
+		.on_load = on_load,
 		.on_wait = on_wait,
 		.on_refused = on_refused,
 		.on_dropped = on_dropped,
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -86,7 +86,7 @@
 void forward_caller_gone(forward_t *forward);
 
 /* What became of a question to the holder of an engine. */
-void forward_go(front_t *front, ask_id_t ask, int64_t version, int running);
+void forward_go(front_t *front, ask_id_t ask, int64_t version);
 void forward_wait(front_t *front, ask_id_t ask);
 void forward_refused(front_t *front, ask_id_t ask, refusal_t refusal,
 		     ms_t retry_after);
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -301,11 +301,16 @@
 	endpoint->full_until = now + FULL_MS;
 }
 
+static gboolean is_load_known(const fleet_endpoint_t *endpoint, ms_t now)
+{
+	return now - endpoint->told_at < LOAD_STALE_MS;
+}
+
 double fleet_endpoint_load(const fleet_endpoint_t *endpoint, ms_t now)
 {
 	int there = endpoint->in_flight;
 
-	if (now - endpoint->told_at < LOAD_STALE_MS) {
+	if (is_load_known(endpoint, now)) {
 		int told = endpoint->told.running + endpoint->told.waiting +
 			   endpoint->in_flight - endpoint->in_flight_told;
 
@@ -409,14 +414,20 @@
 	return best;
 }
 
+/* The mean counts endpoints whose load is known; the others may have any. */
 static double crowded_load(const GPtrArray *list, ms_t now, double share)
 {
 	double sum = 0;
+	guint known = 0;
 	guint i;
 
-	for (i = 0; i < list->len; i++)
+	for (i = 0; i < list->len; i++) {
+		if (!is_load_known(list->pdata[i], now))
+			continue;
 		sum += fleet_endpoint_load(list->pdata[i], now);
-	return MAX(CROWDED_MIN, share * sum / MAX(list->len, 1));
+		known++;
+	}
+	return MAX(CROWDED_MIN, share * sum / MAX(known, 1));
 }
 
 /* The least loaded endpoint that holds the adapter, or NULL. */
