route: take a repeat only as it is sent

The budget is looked at when an attempt has failed and taken when the request is sent. What never left counts as no arrival.

--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -87,6 +87,7 @@
 	ms_t retry_after;    /* the soonest that a holder said; 0 for none */
 	guint sends;	     /* endpoints that it was sent to */
 	guint arrivals;	     /* times that it was sent */
+	gboolean is_counted; /* among the requests for its service */
 	gboolean may_have_run;
 	gboolean is_begun; /* the caller has the head of an answer */
 	const http1_head_t *head;
@@ -266,7 +267,6 @@
 		.is_delivered = forward->is_begun,
 		.is_resumable = forward->last_event != NULL,
 	};
-	gboolean was_sent = kind != ERROR_UNAVAILABLE;
 
 	if (outcome != OUTCOME_NOT_RUN)
 		forward->may_have_run = TRUE;
@@ -285,13 +285,12 @@
 		forward_fail(forward);
 		return;
 	}
-	if (was_sent) {
-		if (!repeat_budget_take(front->budget, now, forward->service)) {
-			forward->why = "no repeats left";
-			forward_fail(forward);
-			return;
-		}
-		counter_add(front->repeats, 1);
+	/* Taken when it is sent; it may be refused before that. */
+	if (forward->arrivals &&
+	    !repeat_budget_has(front->budget, now, forward->service)) {
+		forward->why = "no repeats left";
+		forward_fail(forward);
+		return;
 	}
 	forward_try(forward);
 }
@@ -524,6 +523,7 @@
 	fleet_endpoint_note_failure(forward->endpoint, now_of(forward));
 	if (result == LINK_UNSENT) {
 		forward->sends--;
+		forward->arrivals--;
 		forward_again(forward, OUTCOME_NOT_RUN, ERROR_UNAVAILABLE);
 	} else {
 		forward_again(forward, OUTCOME_UNKNOWN, ERROR_INTERRUPTED);
@@ -604,6 +604,27 @@
 	uv_timer_start(&forward->timer, on_timer, (uint64_t)MAX(wait, 0), 0);
 }
 
+/* FALSE if the request may not be sent once more; it has ended then. */
+static gboolean count_arrival(forward_t *forward, ms_t now)
+{
+	front_t *front = forward->front;
+
+	if (!forward->is_counted) {
+		repeat_budget_request(front->budget, now, forward->service);
+		forward->is_counted = TRUE;
+	} else if (forward->arrivals) {
+		if (!repeat_budget_take(front->budget, now, forward->service)) {
+			forward->why = "no repeats left";
+			leave_endpoint(forward);
+			forward_fail(forward);
+			return FALSE;
+		}
+		counter_add(front->repeats, 1);
+	}
+	forward->arrivals++;
+	return TRUE;
+}
+
 static void forward_send(forward_t *forward)
 {
 	front_t *front = forward->front;
@@ -622,16 +643,19 @@
 		.after_event = forward->last_event,
 	};
 	size_t size;
-	const char *body = call_body(forward->call, &size);
+	const char *body;
 
+	if (!count_arrival(forward, now)) {
+		g_string_free(text, TRUE);
+		g_free(address);
+		return;
+	}
+	body = call_body(forward->call, &size);
 	g_assert(!forward->may_have_run || forward->is_idempotent);
 	g_assert(fleet_endpoint_is_usable(endpoint));
 	headers_render_request(text, head, &fields, size);
 	g_string_append_len(text, body, (gssize)size);
 	g_free(address);
-	if (!forward->arrivals)
-		repeat_budget_request(front->budget, now, forward->service);
-	forward->arrivals++;
 	forward->sends++;
 	forward->state = FORWARD_SENT;
 	forward->sent_at = now;
--- a/lib/route/repeat_budget.c
+++ b/lib/route/repeat_budget.c
@@ -84,17 +84,23 @@
 	account_at(budget, now, service)->requests[0]++;
 }
 
-gboolean repeat_budget_take(repeat_budget_t *budget, ms_t now,
-			    const char *service)
+gboolean repeat_budget_has(repeat_budget_t *budget, ms_t now,
+			   const char *service)
 {
-	account_t *account = account_at(budget, now, service);
+	const account_t *account = account_at(budget, now, service);
 	double requests = sum(account->requests, SLICES);
 	double repeats = sum(account->repeats, SLICES + 1);
 	double allowed = budget->options.share * requests +
 			 budget->options.slack / budget->instances;
 
-	if (repeats + 1 > allowed * USED_PART)
+	return repeats + 1 <= allowed * USED_PART;
+}
+
+gboolean repeat_budget_take(repeat_budget_t *budget, ms_t now,
+			    const char *service)
+{
+	if (!repeat_budget_has(budget, now, service))
 		return FALSE;
-	account->repeats[0]++;
+	account_at(budget, now, service)->repeats[0]++;
 	return TRUE;
 }
--- a/lib/route/repeat_budget.h
+++ b/lib/route/repeat_budget.h
@@ -33,7 +33,11 @@
 void repeat_budget_request(repeat_budget_t *budget, ms_t now,
 			   const char *service);
 
-/* Take one repeat; FALSE if the budget is spent. */
+/* Whether a repeat could be taken now. */
+gboolean repeat_budget_has(repeat_budget_t *budget, ms_t now,
+			   const char *service);
+
+/* Take one repeat as it is sent; FALSE if the budget is spent. */
 gboolean repeat_budget_take(repeat_budget_t *budget, ms_t now,
 			    const char *service);
 
