Makefile: let 'make demo' install what it needs

On a fresh machine it compiled before anything was installed: pkg-config found nothing when make read its flags.

--- a/Makefile
+++ b/Makefile
@@ -108,7 +108,8 @@
 		OPT='-O1 -g -fsanitize=address,undefined \
 		-fno-sanitize-recover=undefined -fno-omit-frame-pointer' test
 
-demo: all
+# It builds by itself, once the libraries are there.
+demo: deps
 	BUILD=$(BUILD) tools/demo
 
 bench: all
