--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -91,6 +91,7 @@
 				   {NULL, NULL}};
 	char *body;
 	char *text;
+	char *number;
 	http_call_request_t request = {
 		.host = fleet_endpoint_address(held->endpoint),
 		.port = fleet_endpoint_port(held->endpoint),
@@ -108,9 +109,11 @@
 	held->order = http_call_whole(adapters->client, &request,
 				      REPORT_MAX_BYTES, on_order, held);
 	text = g_strdup_printf("%" G_GINT64_FORMAT, (gint64)order->sequence);
+	number = g_strdup_printf("%" G_GINT64_FORMAT, (gint64)fence);
 	log_info("order", "endpoint", held->id, "order",
 		 order_name(order->kind), "adapter", order->adapter, "after",
-		 text, NULL);
+		 text, "fence", number, NULL);
+	g_free(number);
 	g_free(text);
 	g_free(body);
 }
--- a/t/lib/deploy.sh
+++ b/t/lib/deploy.sh
@@ -25,6 +25,8 @@
 #	finish				end well, if no program has ended by
 #					itself
 #
+# KEEP_LOGS=DIR keeps what a script that failed has written.
+#
 # Names of processes are made of letters, digits and '_'.  Standard output is in
 # $work/NAME.out along with the log, what it says of a wrong start in $work/NAME.err.
 #
@@ -77,6 +79,8 @@
 		signal_to "$name" KILL
 		reap "$name"
 	done
+	test "$code" != 0 && test -n "$KEEP_LOGS" &&
+		cp -r "$work" "$KEEP_LOGS/$script.$$"
 	rm -rf "$work"
 	exit "$code"
 }
