--- a/t/lib/front.sh
+++ b/t/lib/front.sh
@@ -21,9 +21,8 @@
 	echo "$network.$1"
 }
 
+# Two model servers, two plain endpoints and the store.
 start_models () {
-	engines=2
-	services=2
 	start_many 5 platform standin-platform "$@"
 }
 
--- a/t/unit/test-hold.c
+++ b/t/unit/test-hold.c
@@ -291,6 +291,32 @@
 	destroy(cache, &seen);
 }
 
+/* An engine that started empty: its base model is ordered once. */
+static void test_base_model(void **state)
+{
+	const cache_report_t empty = {.sequence = 0};
+	const cache_report_t busy = {.sequence = 1, .is_busy = TRUE};
+	seen_t seen;
+	adapter_cache_t *cache = create(&seen);
+	ms_t now;
+
+	adapter_cache_tick(cache, 0, TRUE);
+	adapter_cache_report(cache, 0, &empty);
+	want(cache, 0, "m/a");
+	adapter_cache_tick(cache, 10, TRUE);
+	expect_order(&seen, 1, CACHE_ORDER_LOAD_MODEL, "", 0);
+	adapter_cache_answered(cache, 12, CACHE_ANSWER_ACCEPTED);
+	for (now = 20; now < 2000; now += 10) {
+		adapter_cache_tick(cache, now, TRUE);
+		adapter_cache_report(cache, now, &busy);
+	}
+	assert_int_equal(seen.orders, 1);
+	report(cache, now, 1, NULL, 0);
+	adapter_cache_tick(cache, now + 10, TRUE);
+	expect_order(&seen, 2, CACHE_ORDER_LOAD, "m/a", 1);
+	destroy(cache, &seen);
+}
+
 /* The store of weights is the bound: the wait for one more load is told. */
 static void test_load_wait(void **state)
 {
@@ -471,6 +497,7 @@
 		cmocka_unit_test(test_count_too_high),
 		cmocka_unit_test(test_missing),
 		cmocka_unit_test(test_newer_version),
+		cmocka_unit_test(test_base_model),
 		cmocka_unit_test(test_load_wait),
 		cmocka_unit_test(test_new_engine),
 		cmocka_unit_test(test_successor_waits),
