front: leave a silent holder out

The first one that gets none now marks the holder: requests go where the adapter is known to be, or to another engine, until something is heard of the holder or 1.5 s have passed.

--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -206,6 +206,8 @@
 	adapters->holdings = create_holdings(adapters);
 	adapters->held = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       held_engine_destroy);
+	adapters->silent =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	adapters->asked = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						g_free, asked_free);
 	adapters->self_news = g_queue_new();
@@ -341,6 +343,13 @@
 	g_hash_table_foreach(adapters->held, declare, &at);
 }
 
+static gboolean is_silent(const adapters_t *adapters, const char *holder)
+{
+	const ms_t *since = g_hash_table_lookup(adapters->silent, holder);
+
+	return since && now_of(adapters) - *since < SILENT_MS;
+}
+
 gboolean adapters_can_ask(const adapters_t *adapters, const char *engine)
 {
 	const char *holder = holdings_holder(adapters->holdings, engine);
@@ -348,7 +357,8 @@
 	if (g_hash_table_contains(adapters->held, engine))
 		return TRUE;
 	return holder && adapters->peers &&
-	       peers_is_up(adapters->peers, holder);
+	       peers_is_up(adapters->peers, holder) &&
+	       !is_silent(adapters, holder);
 }
 
 guint adapters_instance_count(const adapters_t *adapters)
--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -20,6 +20,9 @@
 #include "route/route_table.h"
 #include "serve/process.h"
 
+/* How long a silent holder is not asked; its lease ends in about that time. */
+#define SILENT_MS 1500
+
 typedef struct adapters adapters_t;
 
 /* Why a request is not let through. */
@@ -111,6 +114,12 @@
 /* Never calls back before it returns. */
 ask_id_t adapters_ask(adapters_t *adapters, const ask_t *ask);
 
+/*
+ * The holder has not answered in time: it is left out until something is heard
+ * of it, or for SILENT_MS.
+ */
+void adapters_note_silent(adapters_t *adapters, ask_id_t ask);
+
 /* The request has ended, or is not to be sent after all. */
 void adapters_done(adapters_t *adapters, ask_id_t ask);
 
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -274,12 +274,14 @@
 /* A message of a holder to which this instance connected. */
 static void on_news(void *ctx, const char *name, const msgpack_object *message)
 {
+	adapters_t *adapters = ctx;
 	holder_news_t news = {0};
 	codec_reader_t reader;
 	char *engine = NULL;
 	char *adapter = NULL;
 	int type;
 
+	g_hash_table_remove(adapters->silent, name);
 	codec_read_init(&reader, message, &type);
 	news.type = (message_type_t)type;
 	if (type == MESSAGE_DROPPED) {
@@ -300,7 +302,7 @@
 	    !codec_read_end(&reader))
 		log_unreadable(name);
 	else
-		news_arrived(ctx, &news);
+		news_arrived(adapters, &news);
 	g_free(engine);
 	g_free(adapter);
 }
@@ -442,6 +444,19 @@
 	return id;
 }
 
+void adapters_note_silent(adapters_t *adapters, ask_id_t id)
+{
+	const asked_t *asked = g_hash_table_lookup(adapters->asked, &id);
+	ms_t now = ms_clock_now(process_clock(adapters->process));
+
+	if (!asked || !asked->holder)
+		return;
+	log_info("holder silent", "peer", asked->holder, "endpoint",
+		 asked->engine, NULL);
+	g_hash_table_insert(adapters->silent, g_strdup(asked->holder),
+			    g_memdup2(&now, sizeof(now)));
+}
+
 void adapters_done(adapters_t *adapters, ask_id_t id)
 {
 	asked_t *asked = g_hash_table_lookup(adapters->asked, &id);
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -93,7 +93,8 @@
 	GHashTable *records; /* instance to where it listens */
 	ms_t now;	     /* of the present tick */
 	ask_id_t last_ask;
-	GHashTable *asked; /* questions of this instance: id to asked_t */
+	GHashTable *silent; /* holders that did not answer: name to time */
+	GHashTable *asked;  /* questions of this instance: id to asked_t */
 	uv_timer_t self_timer;
 	GQueue *self_news; /* answers of this instance to itself */
 	counter_t *orders;
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -155,6 +155,9 @@
 		forward_again(forward, OUTCOME_UNKNOWN, ERROR_TIMEOUT);
 	} else if (now >= ask_ends(forward)) {
 		forward->why = "the engine's holder is silent";
+		if (!forward->is_queued)
+			adapters_note_silent(forward->front->adapters,
+					     forward->ask);
 		ask_elsewhere(forward);
 	} else {
 		forward_set_timer(forward);
--- a/t/t0803-front-fleet.sh
+++ b/t/t0803-front-fleet.sh
@@ -91,6 +91,36 @@
 }
 wait_for later
 
+# A holder that stands still costs one request some time, not each one.  They
+# use an adapter that is resident at its engine, so that nothing else is waited
+# for.
+engine_of_2=$(curl -s "http://$(ip 2):8001/status" | grep -o 'engine-[12]-1')
+for name in g1 g2 g3 g4 g5 g6 g7 g8 g9
+do
+	adapter 1 "$name" -o /dev/null
+	last=$(grep '"event":"request"' "$work/front1.out" | tail -n 1)
+	case "$last" in
+	*"\"endpoint\":\"$engine_of_2\""*) break ;;
+	esac
+done
+silent () {
+	grep -c "\"why\":\"the engine's holder is silent" "$work/front1.out"
+}
+freeze front2
+adapter 1 "$name" -o /dev/null
+test "$(silent)" = 1 || fail 'no request met the frozen holder'
+asking=
+for n in 1 2 3 4
+do
+	adapter 1 "$name" -o /dev/null &
+	asking="$asking $!"
+done
+wait $asking
+expect 'the others do not wait for a frozen holder' silent <<\END
+1
+END
+thaw front2
+
 # An instance that dies leaves its engines to the other.
 kill_now front1
 took_over () {
