front: tell from which revision to which, and once more at a change

The poll that brought the configuration also named the instances that poll for all from then on, and the former one dropped the news of that very poll, since it was no longer the one to tell. Its successors had read the configuration with their first reading, which is not told, and their first empty tellings counted as news: the others left out polls for up to 3.6 s.

Ruled out: the store (it answered within 4 ms), a slow instance (node_slow was another's).

Change: a telling says from which revision of the store to which it reaches; one that does not follow on what an instance knows does not count, and it polls. Who polled for all until now tells once more. Without tellings an instance polls after two poll times instead of three, which with the poll time that passes until it is seen keeps the bound (checked when compiling).

The two new tests fail with the old rules.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -25,6 +25,14 @@
 
 typedef struct adapters adapters_t;
 
+/* Items of the key-value service: all that came after from and until to. */
+typedef struct {
+	int64_t from;
+	int64_t to;
+	const kv_item_t *items;
+	size_t count;
+} news_t;
+
 /* Why a request is not let through. */
 typedef enum {
 	REFUSAL_NOT_HELD, /* the engine's holder is not known or not reached */
@@ -56,7 +64,7 @@
 	/* An adapter is no longer usable at an engine. */
 	void (*on_dropped)(void *ctx, const char *engine, const char *adapter);
 	/* An instance that polls for all tells of items; maybe of none. */
-	void (*on_news)(void *ctx, const kv_item_t *items, size_t count);
+	void (*on_news)(void *ctx, const news_t *news);
 	/* An instance came, or is gone. */
 	void (*on_instance)(void *ctx, const char *instance, gboolean is_alive);
 	/* The service of an engine, or NULL while it is not known. */
@@ -127,9 +135,8 @@
 void adapters_want(adapters_t *adapters, const char *engine,
 		   const char *adapter, int64_t version);
 
-/* Tell all other instances of items. */
-void adapters_tell_news(adapters_t *adapters, const kv_item_t *items,
-			size_t count);
+/* Tell all other instances. */
+void adapters_tell_news(adapters_t *adapters, const news_t *news);
 
 /* Instances that are known to be alive, this one counted; at least 1. */
 guint adapters_instance_count(const adapters_t *adapters);
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -209,9 +209,12 @@
 		      codec_reader_t *reader)
 {
 	GArray *items = g_array_new(FALSE, TRUE, sizeof(kv_item_t));
+	news_t news = {0};
 	codec_reader_t rows;
 
 	g_array_set_clear_func(items, item_clear);
+	news.from = codec_read_int(reader, 0, INT64_MAX);
+	news.to = codec_read_int(reader, 0, INT64_MAX);
 	codec_read_array(reader, &rows);
 	while (rows.left && !rows.is_failed && items->len < NEWS_ITEMS_MAX) {
 		kv_item_t item = {0};
@@ -227,13 +230,12 @@
 		if (item.key)
 			g_array_append_val(items, item);
 	}
+	news.items = (const kv_item_t *)(const void *)items->data;
+	news.count = items->len;
 	if (rows.is_failed || rows.left || !codec_read_end(reader))
 		log_unreadable(conn_peer_instance(conn));
 	else
-		adapters->events.on_news(
-			adapters->ctx,
-			(const kv_item_t *)(const void *)items->data,
-			items->len);
+		adapters->events.on_news(adapters->ctx, &news);
 	g_array_free(items, TRUE);
 }
 
@@ -504,25 +506,27 @@
 
 typedef struct {
 	adapters_t *adapters;
-	const kv_item_t *items;
-	size_t count;
+	const news_t *news;
 } telling_t;
 
 static void tell_peer(void *ctx, const char *name, gboolean is_up)
 {
 	const telling_t *at = ctx;
+	const news_t *news = at->news;
 	codec_writer_t writer;
 	uint32_t members = 0;
 	size_t i;
 
 	if (!is_up)
 		return;
-	for (i = 0; i < at->count; i++)
-		members += NEWS_MEMBERS + (at->items[i].value != NULL);
-	codec_write_init(&writer, MESSAGE_NEWS, 1);
+	for (i = 0; i < news->count; i++)
+		members += NEWS_MEMBERS + (news->items[i].value != NULL);
+	codec_write_init(&writer, MESSAGE_NEWS, 3);
+	codec_write_int(&writer, news->from);
+	codec_write_int(&writer, news->to);
 	codec_write_array(&writer, members);
-	for (i = 0; i < at->count; i++) {
-		const kv_item_t *item = &at->items[i];
+	for (i = 0; i < news->count; i++) {
+		const kv_item_t *item = &news->items[i];
 
 		codec_write_text(&writer, item->key);
 		codec_write_int(&writer, item->revision);
@@ -534,10 +538,9 @@
 	peers_send(at->adapters->peers, name, &writer);
 }
 
-void adapters_tell_news(adapters_t *adapters, const kv_item_t *items,
-			size_t count)
+void adapters_tell_news(adapters_t *adapters, const news_t *news)
 {
-	telling_t at = {adapters, items, count};
+	telling_t at = {adapters, news};
 
 	if (adapters->peers)
 		peers_each(adapters->peers, tell_peer, &at);
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -26,6 +26,9 @@
  */
 #define GATHER_PERCENT 30
 
+/* Also when all that poll for the others are lost at once. */
+G_STATIC_ASSERT((RELAY_SILENT_POLLS + 1) * GATHER_PERCENT < 100);
+
 /* How often settings, removals and uses are looked at. */
 #define SWEEP_MS 500
 
--- a/lib/front/front_items.c
+++ b/lib/front/front_items.c
@@ -178,7 +178,8 @@
 	front_t *front = ctx;
 	kv_item_t copy = *item;
 
-	if (!take_item(front, item) || !relay_is_watcher(front->relay))
+	/* The first reading is not told: others have read it too. */
+	if (!take_item(front, item) || !mirror_is_synced(front->mirror))
 		return;
 	copy.key = g_strdup(item->key);
 	copy.value =
@@ -187,15 +188,17 @@
 }
 
 /* After each poll, also one without news: the others then need none. */
-void front_on_polled(void *ctx)
+void front_on_polled(void *ctx, int64_t revision)
 {
 	front_t *front = ctx;
-
-	if (relay_is_watcher(front->relay) && front->adapters)
-		adapters_tell_news(
-			front->adapters,
-			(const kv_item_t *)(const void *)front->news->data,
-			front->news->len);
+	news_t news = {
+		.items = (const kv_item_t *)(const void *)front->news->data,
+		.count = front->news->len,
+	};
+
+	relay_read(front->relay, revision);
+	if (relay_tell(front->relay, &news.from, &news.to) && front->adapters)
+		adapters_tell_news(front->adapters, &news);
 	g_array_set_size(front->news, 0);
 }
 
@@ -206,14 +209,17 @@
 	return relay_may_skip(front->relay, ms_clock_now(front->clock), last);
 }
 
-void front_on_news(void *ctx, const kv_item_t *items, size_t count)
+void front_on_news(void *ctx, const news_t *news)
 {
 	front_t *front = ctx;
 	size_t i;
 
-	relay_heard(front->relay, ms_clock_now(front->clock));
-	for (i = 0; i < count; i++)
-		mirror_take(front->mirror, &items[i]);
+	if (!mirror_is_synced(front->mirror) ||
+	    !relay_heard(front->relay, ms_clock_now(front->clock), news->from,
+			 news->to))
+		return;
+	for (i = 0; i < news->count; i++)
+		mirror_take(front->mirror, &news->items[i]);
 }
 
 void front_on_instance(void *ctx, const char *instance, gboolean is_alive)
@@ -227,8 +233,9 @@
 {
 	front_t *front = ctx;
 
-	/* The others have read them too. */
+	/* Who has not read them sees that from the revisions. */
 	g_array_set_size(front->news, 0);
+	relay_read_all(front->relay, mirror_revision(front->mirror));
 	log_info("items read", NULL, NULL);
 	adapters_on_synced(front->adapters);
 }
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -58,7 +58,7 @@
 	ms_t store_back_at;    /* when the store was regained last */
 	adapters_t *adapters;
 	relay_t *relay;
-	GArray *news; /* kv_item_t to be told after the present poll */
+	GArray *news; /* kv_item_t taken since the last poll */
 	callers_t *callers;
 	links_t *links;
 	repeat_budget_t *budget;
@@ -86,10 +86,10 @@
 void front_on_item(void *ctx, const kv_item_t *item);
 void front_on_synced(void *ctx);
 /* After each poll, also one without news: the others then need none. */
-void front_on_polled(void *ctx);
+void front_on_polled(void *ctx, int64_t revision);
 /* Whether a poll may be left out, since others tell the news. */
 gboolean front_may_skip(void *ctx, ms_t last);
-void front_on_news(void *ctx, const kv_item_t *items, size_t count);
+void front_on_news(void *ctx, const news_t *news);
 void front_on_instance(void *ctx, const char *instance, gboolean is_alive);
 void front_on_contact(void *ctx, gboolean is_lost);
 /* Endpoints that lapsed while the store was away and did not come back. */
--- a/lib/hold/relay.c
+++ b/lib/hold/relay.c
@@ -11,6 +11,9 @@
 	char *instance;
 	ms_t poll_time;
 	GHashTable *alive; /* names of instances */
+	int64_t known; /* all news until this revision was taken */
+	int64_t told;  /* what relay_tell() reached last */
+	gboolean was_watcher;
 	gboolean has_heard;
 	ms_t heard_at;
 };
@@ -61,10 +64,37 @@
 	return better < RELAY_WATCHERS;
 }
 
-void relay_heard(relay_t *relay, ms_t now)
+void relay_read_all(relay_t *relay, int64_t revision)
 {
-	relay->has_heard = TRUE;
+	relay_read(relay, revision);
+	relay->told = relay->known;
+}
+
+void relay_read(relay_t *relay, int64_t revision)
+{
+	relay->known = MAX(relay->known, revision);
+}
+
+gboolean relay_tell(relay_t *relay, int64_t *from, int64_t *to)
+{
+	gboolean is_watcher = relay_is_watcher(relay);
+	gboolean is_due = is_watcher || relay->was_watcher;
+
+	relay->was_watcher = is_watcher;
+	*from = relay->told;
+	*to = relay->known;
+	relay->told = relay->known;
+	return is_due;
+}
+
+gboolean relay_heard(relay_t *relay, ms_t now, int64_t from, int64_t to)
+{
+	relay->has_heard = from <= relay->known;
+	if (!relay->has_heard)
+		return FALSE;
+	relay->known = MAX(relay->known, to);
 	relay->heard_at = now;
+	return TRUE;
 }
 
 gboolean relay_may_skip(const relay_t *relay, ms_t now, ms_t last)
--- a/lib/hold/relay.h
+++ b/lib/hold/relay.h
@@ -11,6 +11,12 @@
  * themselves once they have heard nothing for some time.  Two instances may
  * choose differently for a moment; that costs calls and nothing else.
  *
+ * Who polls changes when an instance comes or goes, and a message may be lost.
+ * So each telling says from which revision of the service to which it reaches,
+ * and one that does not follow on what an instance knows does not count: it
+ * polls.  One that polled for all until now tells once more, since the poll
+ * that named its successor may have brought other news.
+ *
  * Decision code: the time comes in with each call.
  */
 
@@ -21,9 +27,12 @@
 /* Instances that poll for all; one may die unnoticed for a moment. */
 #define RELAY_WATCHERS 2
 
-/* Without news of a watcher for so many poll times, an instance polls itself.
+/*
+ * Without news of a watcher for so many poll times, an instance polls itself.
+ * That is seen a poll time late at most, and three poll times are less than the
+ * time in which news has to be acted on.
  */
-#define RELAY_SILENT_POLLS 3
+#define RELAY_SILENT_POLLS 2
 
 /* An instance that is told polls at least once in so many poll times. */
 #define RELAY_SKIPS_MAX 6
@@ -41,8 +50,23 @@
 /* Whether this instance polls for all. */
 gboolean relay_is_watcher(const relay_t *relay);
 
-/* A watcher has told what it knows. */
-void relay_heard(relay_t *relay, ms_t now);
+/* All items were read, as of this revision. */
+void relay_read_all(relay_t *relay, int64_t revision);
+
+/* A poll brought all that came until this revision. */
+void relay_read(relay_t *relay, int64_t revision);
+
+/*
+ * After each poll: whether its news is to be told.  If so, what was taken since
+ * the last call is all that came after from and until to.
+ */
+gboolean relay_tell(relay_t *relay, int64_t *from, int64_t *to);
+
+/*
+ * A watcher tells what came after from and until to.  FALSE if it does not
+ * follow on what is known here; then its items are not to be taken.
+ */
+gboolean relay_heard(relay_t *relay, ms_t now, int64_t from, int64_t to);
 
 /* Whether a poll that is due may be left out; last is the time of the last. */
 gboolean relay_may_skip(const relay_t *relay, ms_t now, ms_t last);
--- a/t/unit/test-relay.c
+++ b/t/unit/test-relay.c
@@ -57,21 +57,32 @@
 		relay_destroy(relays[i]);
 }
 
-/* Told: rarely.  Not told, or not known to the others: as often as all. */
-static void test_told_or_not(void **state)
+/* The first instance that polls for all, or that does not. */
+static int find(gboolean is_watcher)
 {
-	relay_t *relay = NULL;
-	ms_t now = 100000;
 	int i;
 
 	for (i = 0; i < INSTANCES; i++) {
-		relay = create(i);
-		if (!relay_is_watcher(relay))
-			break;
+		relay_t *relay = create(i);
+		gboolean is_found = relay_is_watcher(relay) == is_watcher;
+
 		relay_destroy(relay);
+		if (is_found)
+			return i;
 	}
+	fail_msg("no such instance");
+	return -1;
+}
+
+/* Told: rarely.  Not told, or not known to the others: as often as all. */
+static void test_told_or_not(void **state)
+{
+	int i = find(FALSE);
+	relay_t *relay = create(i);
+	ms_t now = 100000;
+
 	assert_false(relay_may_skip(relay, now, now));
-	relay_heard(relay, now);
+	assert_true(relay_heard(relay, now, 0, 0));
 	assert_true(relay_may_skip(relay, now + POLL_MS, now));
 	/* Now and then it looks for itself. */
 	assert_false(relay_may_skip(relay, now + POLL_MS,
@@ -79,17 +90,76 @@
 	/* All watchers died. */
 	assert_false(relay_may_skip(relay, now + RELAY_SILENT_POLLS * POLL_MS,
 				    now + RELAY_SILENT_POLLS * POLL_MS));
-	relay_heard(relay, now);
+	assert_true(relay_heard(relay, now, 0, 0));
 	relay_set_instance(relay, name_of(i), FALSE);
 	assert_false(relay_may_skip(relay, now, now));
 	relay_destroy(relay);
 }
 
+/* A message was lost, or another instance polls for all now. */
+static void test_gap(void **state)
+{
+	relay_t *relay = create(find(FALSE));
+	ms_t now = 100000;
+
+	relay_read_all(relay, 5);
+	assert_true(relay_heard(relay, now, 5, 7));
+	assert_true(relay_may_skip(relay, now, now));
+	assert_false(relay_heard(relay, now, 9, 10));
+	assert_false(relay_may_skip(relay, now, now));
+	relay_read(relay, 11);
+	assert_true(relay_heard(relay, now, 10, 12));
+	assert_true(relay_heard(relay, now, 8, 9));
+	assert_true(relay_heard(relay, now, 12, 12));
+	assert_true(relay_may_skip(relay, now, now));
+	relay_destroy(relay);
+}
+
+/*
+ * An instance comes back and is to poll for all.  The poll that shows it brings
+ * more news; the one that polled until now tells that, and is then quiet.
+ */
+static void test_successor(void **state)
+{
+	int back = find(TRUE);
+	relay_t *relay = NULL;
+	int64_t from;
+	int64_t to;
+	int i;
+
+	for (i = 0; i < INSTANCES; i++) {
+		relay = create(i);
+		relay_set_instance(relay, name_of(back), FALSE);
+		if (i != back && relay_is_watcher(relay)) {
+			relay_set_instance(relay, name_of(back), TRUE);
+			if (!relay_is_watcher(relay))
+				break;
+		}
+		relay_destroy(relay);
+	}
+	relay_set_instance(relay, name_of(back), FALSE);
+	relay_read_all(relay, 10);
+	assert_true(relay_tell(relay, &from, &to));
+	assert_int_equal(from, 10);
+	assert_int_equal(to, 10);
+	relay_set_instance(relay, name_of(back), TRUE);
+	assert_false(relay_is_watcher(relay));
+	relay_read(relay, 12);
+	assert_true(relay_tell(relay, &from, &to));
+	assert_int_equal(from, 10);
+	assert_int_equal(to, 12);
+	relay_read(relay, 13);
+	assert_false(relay_tell(relay, &from, &to));
+	relay_destroy(relay);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_few_poll),
 		cmocka_unit_test(test_told_or_not),
+		cmocka_unit_test(test_gap),
+		cmocka_unit_test(test_successor),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
