--- a/lib/hold/relay.c
+++ b/lib/hold/relay.c
@@ -11,8 +11,8 @@
 	char *instance;
 	ms_t poll_time;
 	GHashTable *alive; /* names of instances */
-	int64_t known; /* all news until this revision was taken */
-	int64_t told;  /* what relay_tell() reached last */
+	int64_t known;	   /* all news until this revision was taken */
+	int64_t told;	   /* what relay_tell() reached last */
 	gboolean was_watcher;
 	gboolean has_heard;
 	ms_t heard_at;
