t: t0003 runs make without the flags of the make above it

Cause: under 'make test' MAKEFLAGS reaches the script, and the inner make prints 'Entering directory' first. It passed only when run by itself or from 'make check'. Ruled out: load. After: ok in both.

--- a/t/t0003-make.sh
+++ b/t/t0003-make.sh
@@ -3,6 +3,9 @@
 # machine without the libraries.  Nothing is run; no state of the machine counts.
 . "$(dirname "$0")/lib/deploy.sh"
 
+# A make that runs this script would tell the ones below its flags.
+unset MAKEFLAGS MFLAGS MAKELEVEL
+
 first_step () {
 	make -n -s "$1" BUILD="$work/build" >"$work/steps"
 	head -n 1 "$work/steps"
