front: keep the reason of an answer and of a reading that fail

Cause: read again as a newcomer. An answer that is no HTTP ended with a fixed text, the reader's reason was dropped; a first reading of the store that failed was tried again without a line in the log. Ruled out: other places that clear an error (each logs it or hands it on).

The reader's reason is handed on; a failed reading is logged once until one succeeds. test-link and t0801 check both; both fail on the former code (test_broken; 'items not read' never comes).

--- a/lib/front/link.c
+++ b/lib/front/link.c
@@ -8,6 +8,7 @@
 
 #include "base/counter.h"
 
+/* Bytes read at once; chosen. */
 #define READ_SIZE (16 * 1024)
 
 /* A connection is up in 5 ms; a lost packet is sent again after a second. */
@@ -308,8 +309,8 @@
 		return;
 	}
 	if (error) {
+		link_fail(link, LINK_BROKEN, error->message);
 		g_clear_error(&error);
-		link_fail(link, LINK_BROKEN, "the answer is no HTTP");
 	} else if (link->is_given_up) {
 		link_fail(link, LINK_BROKEN, "the answer is not to be used");
 	} else if (http1_reader_is_done(link->reader)) {
--- a/lib/front/mirror.c
+++ b/lib/front/mirror.c
@@ -98,6 +98,9 @@
 	size_t i;
 
 	if (status != KV_DONE) {
+		if (mirror->delay == MIRROR_RETRY_FIRST_MS)
+			log_warn("items not read; tried again", "error",
+				 error ? error->message : "refused", NULL);
 		read_later(mirror);
 		return;
 	}
--- a/t/t0801-front.sh
+++ b/t/t0801-front.sh
@@ -92,4 +92,20 @@
 	'curl -s "http://$(ip 1):8001/metrics" | grep -c "^hc_requests_total"' <<\END
 1
 END
+
+# One that begins without the store knows nothing yet, and says why.
+control store mode=refuse
+front_settings 2
+start front2 hc-front --settings "$work/front2.json"
+wait_for grep -q '"event":"items not read; tried again","error":"the store' \
+	"$work/front2.out"
+expect 'before the first configuration a request is 503' code 2 /read/x <<\END
+503
+END
+control store mode=up
+wait_for is_ready 2
+expect 'the reason is logged once' \
+	grep -c 'items not read' "$work/front2.out" <<\END
+1
+END
 finish
--- a/t/unit/test-link.c
+++ b/t/unit/test-link.c
@@ -32,6 +32,7 @@
 	gboolean refuses_head;
 	int ended;
 	link_result_t result;
+	char *why; /* of the last end */
 	GString *body;
 } world_t;
 
@@ -133,6 +134,8 @@
 
 	world->ended++;
 	world->result = result;
+	g_free(world->why);
+	world->why = g_strdup(why);
 	uv_stop(&world->loop);
 }
 
@@ -191,6 +194,7 @@
 	uv_run(&world->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&world->loop);
 	g_string_free(world->body, TRUE);
+	g_free(world->why);
 }
 
 #define WITH_LENGTH "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
@@ -256,6 +260,10 @@
 		assert_int_equal(exchange(&world, answers[i], END_RESET),
 				 LINK_BROKEN);
 	}
+	/* Not cut short: the reason is the reader's. */
+	assert_int_equal(exchange(&world, "no answer at all\r\n\r\n", END_OPEN),
+			 LINK_BROKEN);
+	assert_non_null(strstr(world.why, "no HTTP/1 message"));
 	end(&world);
 }
 
