base, kv: one copy of what builds, ends and takes apart small JSON

Cause: the list of places written twice.

json_build.h, json_element_object() and kv_item_release() replace them. Ruled out: span.c and chunk.c keep their own text members, which mend or replace a text first.

--- a/lib/base/json_member.c
+++ b/lib/base/json_member.c
@@ -68,3 +68,10 @@
 	*number = json_node_get_int(node);
 	return TRUE;
 }
+
+JsonObject *json_element_object(JsonArray *array, guint i)
+{
+	JsonNode *node = json_array_get_element(array, i);
+
+	return JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
+}
--- a/lib/base/json_member.h
+++ b/lib/base/json_member.h
@@ -23,6 +23,9 @@
 const char *json_member_text(JsonObject *object, const char *name);
 gboolean json_member_true(JsonObject *object, const char *name);
 
+/* NULL if the element is no object. */
+JsonObject *json_element_object(JsonArray *array, guint i);
+
 /* FALSE if the member is no whole number. */
 gboolean json_member_int(JsonObject *object, const char *name, int64_t *number);
 
--- a/lib/capacity/report.c
+++ b/lib/capacity/report.c
@@ -1,3 +1,4 @@
+#include "base/json_build.h"
 #include "capacity/report.h"
 
 #include <json-glib/json-glib.h>
@@ -137,19 +138,13 @@
 char *report_json(const report_t *report)
 {
 	JsonBuilder *builder = json_builder_new();
-	JsonNode *root;
-	char *text;
 	guint i;
 
 	json_builder_begin_array(builder);
 	for (i = 0; i < report->figures->len; i++)
 		add_figure(builder, report->figures->pdata[i]);
 	json_builder_end_array(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, TRUE);
-	json_node_unref(root);
-	g_object_unref(builder);
-	return text;
+	return json_build_end(builder, TRUE);
 }
 
 double processor_us(void)
--- a/lib/config/chunk.c
+++ b/lib/config/chunk.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "base/error.h"
+#include "base/json_build.h"
 
 #define NAMES_MAX 20000
 
@@ -111,14 +112,7 @@
 static void render_text(JsonBuilder *builder, const char *name,
 			const char *text)
 {
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, text ? text : "");
-}
-
-static void render_int(JsonBuilder *builder, const char *name, int64_t value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_int_value(builder, value);
+	json_build_text(builder, name, text ? text : "");
 }
 
 static void render_names(JsonBuilder *builder, const char *name,
@@ -139,26 +133,20 @@
 char *manifest_render(const manifest_t *manifest)
 {
 	JsonBuilder *builder = json_builder_new();
-	JsonNode *root;
-	char *text;
 
 	json_builder_begin_object(builder);
-	render_int(builder, "generation", manifest->generation);
+	json_build_int(builder, "generation", manifest->generation);
 	render_text(builder, "commit", manifest->commit);
 	render_text(builder, "author", manifest->author);
 	render_text(builder, "note", manifest->note);
-	render_int(builder, "time", manifest->time);
-	render_int(builder, "size", manifest->size);
+	json_build_int(builder, "time", manifest->time);
+	json_build_int(builder, "size", manifest->size);
 	render_text(builder, "hash", manifest->hash);
 	render_names(builder, "chunks", manifest->chunks);
 	render_names(builder, "added", manifest->added);
 	render_names(builder, "replaced", manifest->replaced);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
-	json_node_free(root);
-	g_object_unref(builder);
-	return text;
+	return json_build_end(builder, FALSE);
 }
 
 char *manifest_render_form(const manifest_t *manifest, gboolean has_chunks,
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -5,7 +5,7 @@
 #include "base/log.h"
 #include "wire/codec.h"
 
-/* The longest name of an engine or adapter in a message. */
+/* The longest name of an engine or adapter in a message; chosen. */
 #define NAME_MAX_BYTES 256
 
 /* Of these connections in their greeting. */
@@ -194,25 +194,19 @@
 	g_free(adapter);
 }
 
-/* Items of one message; a watcher sends what one poll brought. */
+/*
+ * Items of one message; a watcher sends what one poll brought.  Chosen: above
+ * the endpoints and instances of the target size together.
+ */
 #define NEWS_ITEMS_MAX 10000
 
-static void item_clear(gpointer data)
-{
-	kv_item_t *item = data;
-
-	g_free(item->key);
-	g_free(item->value);
-}
-
 static void take_news(adapters_t *adapters, conn_t *conn,
 		      codec_reader_t *reader)
 {
-	GArray *items = g_array_new(FALSE, TRUE, sizeof(kv_item_t));
+	GArray *items = kv_items_create();
 	news_t news = {0};
 	codec_reader_t rows;
 
-	g_array_set_clear_func(items, item_clear);
 	news.from = codec_read_int(reader, 0, INT64_MAX);
 	news.to = codec_read_int(reader, 0, INT64_MAX);
 	codec_read_array(reader, &rows);
--- a/lib/kv/etcd_json.c
+++ b/lib/kv/etcd_json.c
@@ -1,3 +1,4 @@
+#include "base/json_member.h"
 #include "kv/etcd_json.h"
 
 #include <json-glib/json-glib.h>
@@ -177,13 +178,6 @@
 	return TRUE;
 }
 
-static JsonObject *element_object(JsonArray *array, guint i)
-{
-	JsonNode *node = json_array_get_element(array, i);
-
-	return JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
-}
-
 static gboolean read_revision(JsonObject *object, int64_t *revision,
 			      GError **error)
 {
@@ -206,8 +200,8 @@
 	is_valid = read_revision(object, revision, error);
 	kvs = json_member_array(object, "kvs");
 	for (i = 0; is_valid && kvs && i < json_array_get_length(kvs); i++)
-		is_valid =
-			add_item(items, element_object(kvs, i), FALSE, error);
+		is_valid = add_item(items, json_element_object(kvs, i), FALSE,
+				    error);
 	g_object_unref(parser);
 	return is_valid;
 }
@@ -282,7 +276,8 @@
 	events = json_member_array(result, "events");
 	for (i = 0; is_valid && events && i < json_array_get_length(events);
 	     i++)
-		is_valid = add_event(items, element_object(events, i), error);
+		is_valid =
+			add_event(items, json_element_object(events, i), error);
 	g_object_unref(parser);
 	return is_valid;
 }
--- a/lib/kv/kv.c
+++ b/lib/kv/kv.c
@@ -5,7 +5,7 @@
 	void *ctx;
 };
 
-static void item_clear(gpointer data)
+void kv_item_release(void *data)
 {
 	kv_item_t *item = data;
 
@@ -17,7 +17,7 @@
 {
 	GArray *items = g_array_new(FALSE, TRUE, sizeof(kv_item_t));
 
-	g_array_set_clear_func(items, item_clear);
+	g_array_set_clear_func(items, kv_item_release);
 	return items;
 }
 
--- a/lib/kv/kv.h
+++ b/lib/kv/kv.h
@@ -39,7 +39,10 @@
 	int64_t lease;	  /* 0 for none */
 } kv_item_t;
 
-/* An array of kv_item_t that frees its items. */
+/* Free the key and the value of an item. */
+void kv_item_release(void *item);
+
+/* An array of kv_item_t that releases its items. */
 GArray *kv_items_create(void);
 
 /* What a write expects of the key's revision. */
--- a/lib/owner/tenure.c
+++ b/lib/owner/tenure.c
@@ -3,6 +3,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "base/json_build.h"
 #include "base/log.h"
 #include "own/ownership.h"
 #include "owner/place.h"
@@ -152,8 +153,6 @@
 	} programs[] = {{"hc-entry", settings->entry_status_port},
 			{"hc-owner", settings->owner_status_port},
 			{"hc-admin", settings->admin_status_port}};
-	JsonNode *root;
-	char *text;
 	size_t i;
 
 	json_builder_begin_object(builder);
@@ -179,11 +178,7 @@
 	}
 	json_builder_end_object(builder);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
-	json_node_free(root);
-	g_object_unref(builder);
-	return text;
+	return json_build_end(builder, FALSE);
 }
 
 tenure_t *tenure_create(process_t *process, kv_t *kv,
--- a/lib/standin/kv_gateway.c
+++ b/lib/standin/kv_gateway.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/json_member.h"
 #include "kv/etcd_json.h"
 
 #define MS_PER_SECOND  1000
@@ -158,13 +159,6 @@
 	return actual == wanted;
 }
 
-static JsonObject *element_object(JsonArray *array, guint i)
-{
-	JsonNode *node = json_array_get_element(array, i);
-
-	return JSON_NODE_HOLDS_OBJECT(node) ? json_node_get_object(node) : NULL;
-}
-
 /* FALSE if an operation is not one that the stand-in knows. */
 static gboolean read_change(JsonObject *operation, kv_change_t *change)
 {
@@ -198,8 +192,8 @@
 		count = 0;
 	changes = g_new0(kv_change_t, count + 1);
 	for (i = 0; i < count; i++)
-		is_valid &=
-			read_change(element_object(operations, i), &changes[i]);
+		is_valid &= read_change(json_element_object(operations, i),
+					&changes[i]);
 	if (!is_valid)
 		gateway_error(answer, 400, CODE_INVALID_ARGUMENT,
 			      "etcdserver: invalid operation in txn request");
@@ -221,7 +215,8 @@
 	guint i;
 
 	for (i = 0; compares && i < json_array_get_length(compares); i++)
-		is_held &= compare_holds(store, element_object(compares, i));
+		is_held &=
+			compare_holds(store, json_element_object(compares, i));
 	apply_changes(
 		store,
 		json_member_array(object, is_held ? "success" : "failure"),
--- a/lib/standin/list_service.c
+++ b/lib/standin/list_service.c
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 
 #include "base/error.h"
+#include "base/json_build.h"
 #include "http/http_server.h"
 
 #define BODY_MAX_BYTES 65536
@@ -135,7 +136,6 @@
 static void respond_list(list_service_t *service, http_request_t *request)
 {
 	JsonBuilder *builder = json_builder_new();
-	JsonNode *root;
 	char *text;
 
 	apply_due(service);
@@ -145,12 +145,9 @@
 	json_builder_set_member_name(builder, "endpoints");
 	write_items(service, builder, TRUE);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
+	text = json_build_end(builder, FALSE);
 	http_respond(request, 200, JSON_TYPE, NULL, text, strlen(text));
 	g_free(text);
-	json_node_unref(root);
-	g_object_unref(builder);
 }
 
 static void respond_error(http_request_t *request, error_kind_t kind,
--- a/lib/trace/span.c
+++ b/lib/trace/span.c
@@ -1,3 +1,4 @@
+#include "base/json_build.h"
 #include "trace/span.h"
 
 #include <json-glib/json-glib.h>
@@ -65,8 +66,7 @@
 {
 	char *valid = g_utf8_make_valid(text, -1);
 
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, valid);
+	json_build_text(builder, name, valid);
 	g_free(valid);
 }
 
@@ -95,8 +95,6 @@
 char *spans_render(const spans_t *spans, const char *trace)
 {
 	JsonBuilder *builder = json_builder_new();
-	JsonNode *root;
-	char *text;
 
 	json_builder_begin_object(builder);
 	json_builder_set_member_name(builder, "spans");
@@ -110,11 +108,7 @@
 	}
 	json_builder_end_array(builder);
 	json_builder_end_object(builder);
-	root = json_builder_get_root(builder);
-	text = json_to_string(root, FALSE);
-	json_node_unref(root);
-	g_object_unref(builder);
-	return text;
+	return json_build_end(builder, FALSE);
 }
 
 int64_t span_clock_us(void)
--- a/tools/hc-bench.c
+++ b/tools/hc-bench.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #include "base/version.h"
+#include "base/json_build.h"
 #include "bench/bound.h"
 #include "bench/cluster.h"
 
@@ -72,12 +73,6 @@
 	json_builder_add_double_value(json, value);
 }
 
-static void add_text(JsonBuilder *json, const char *name, const char *value)
-{
-	json_builder_set_member_name(json, name);
-	json_builder_add_string_value(json, value);
-}
-
 static void add_row(options_t *options, const profile_t *profile,
 		    scenario_t scenario, const char *policy, int seed,
 		    const measures_t *measures)
@@ -88,9 +83,9 @@
 	g_string_append_printf(options->table, "%s\t%s\t%s\t%d", profile->name,
 			       scenario_name(scenario), policy, seed);
 	json_builder_begin_object(json);
-	add_text(json, "service", profile->name);
-	add_text(json, "scenario", scenario_name(scenario));
-	add_text(json, "policy", policy);
+	json_build_text(json, "service", profile->name);
+	json_build_text(json, "scenario", scenario_name(scenario));
+	json_build_text(json, "policy", policy);
 	add_number(json, "seed", seed);
 	add_number(json, "slots", (double)profile->slots);
 	add_number(json, "skew_thousandths", (double)profile->skew_thousandths);
@@ -397,7 +392,7 @@
 	options->table = g_string_new(NULL);
 	options->json = json_builder_new();
 	json_builder_begin_object(options->json);
-	add_text(options->json, "commit", options->commit);
+	json_build_text(options->json, "commit", options->commit);
 	json_builder_set_member_name(options->json, "runs");
 	json_builder_begin_array(options->json);
 	for (i = 0; i < options->profiles->len && ok; i++)
