--- a/lib/owner/endpoint_private.h
+++ b/lib/owner/endpoint_private.h
@@ -2,12 +2,17 @@
 #define OWNER_ENDPOINT_PRIVATE_H
 
 /*
- * What endpoint.c (runs) and endpoint_order.c (orders and reports) share.
+ * What the files of an endpoint share: endpoint.c (slots), endpoint_run.c
+ * (runs), endpoint_early.c (runs that came too early) and endpoint_order.c
+ * (orders and reports).
  */
 
 #include "owner/endpoint.h"
 #include "owner/run.h"
 
+/* The adapter that stands for a plain service. */
+#define SERVICE_ADAPTER "service@0"
+
 typedef enum {
 	ORDER_NONE,
 	ORDER_INTENDED,
@@ -65,6 +70,17 @@
 
 ms_t endpoint_now(const endpoint_t *endpoint);
 
+/* Actions of the slots: hand a run to the endpoint, or refuse it. */
+void endpoint_start_run(void *ctx, uint64_t id, int slot);
+void endpoint_refuse_run(void *ctx, uint64_t id, error_kind_t kind,
+			 ms_t retry_after);
+
+/* Forget answers that were kept long enough. */
+void endpoint_drop_old_runs(endpoint_t *endpoint, ms_t now);
+
+/* Tell all requesters that the endpoint has another owner; free the runs. */
+void endpoint_fail_runs(endpoint_t *endpoint);
+
 /* Begin an order of the slots: record the intent, then send it. */
 void endpoint_begin_order(endpoint_t *endpoint, int slot, const char *adapter,
 			  gboolean is_load);
--- a/lib/standin/engine_model.c
+++ b/lib/standin/engine_model.c
@@ -1,70 +1,9 @@
 #include "standin/engine_model.h"
 
-#include <json-glib/json-glib.h>
 #include <string.h>
-#include <sys/queue.h>
 
 #include "base/hash.h"
-
-typedef enum { SLOT_EMPTY, SLOT_LOADING, SLOT_RESIDENT } slot_state_t;
-
-static const char *const slot_names[] = {"empty", "loading", "resident"};
-
-typedef struct {
-	slot_state_t state;
-	char *adapter;
-	ms_t load_end;
-	void *order;
-} slot_t;
-
-typedef struct {
-	char *adapter;
-	int count;    /* how often the request began */
-	int finished; /* how often it came to its end */
-	int tokens;
-} ledger_entry_t;
-
-struct engine_run {
-	TAILQ_ENTRY(engine_run) link;
-	char *request;
-	char *adapter;
-	char *prompt;
-	int priority;
-	int max_tokens;
-	int produced;
-	int from;	     /* the first token that the reader wants */
-	gboolean is_running; /* has a place */
-	gboolean is_finished;
-	void *reader;
-	ms_t detached_at;
-};
-
-TAILQ_HEAD(run_list, engine_run);
-
-typedef struct {
-	ms_t at;
-	char *text;
-} report_t;
-
-struct engine_model {
-	engine_options_t options;
-	engine_events_t events;
-	store_model_t *store;
-	char *order_token;
-	slot_t *slots;
-	struct run_list runs;
-	int running;
-	ms_t now;
-	ms_t next_step;
-	int64_t fence;
-	int failing_loads;
-	gboolean is_frozen;
-	GHashTable *ledger; /* request to ledger_entry_t */
-	GPtrArray *violations;
-	GQueue reports; /* older ones than the lag are dropped */
-	uint64_t steps;
-	uint64_t step_places; /* places used, summed over the steps */
-};
+#include "standin/engine_model_private.h"
 
 static void ledger_entry_free(gpointer data)
 {
@@ -105,14 +44,6 @@
 	g_free(run);
 }
 
-static void report_free(gpointer data)
-{
-	report_t *report = data;
-
-	g_free(report->text);
-	g_free(report);
-}
-
 void engine_model_destroy(engine_model_t *engine)
 {
 	int i;
@@ -124,7 +55,7 @@
 	g_free(engine->slots);
 	g_hash_table_destroy(engine->ledger);
 	g_ptr_array_free(engine->violations, TRUE);
-	g_queue_clear_full(&engine->reports, report_free);
+	engine_forget_reports(engine);
 	g_free(engine->order_token);
 	g_free(engine);
 }
@@ -483,24 +414,6 @@
 	}
 }
 
-static char *render_report(engine_model_t *engine);
-
-static void record_report(engine_model_t *engine)
-{
-	report_t *report = g_new0(report_t, 1);
-
-	report->at = engine->now;
-	report->text = render_report(engine);
-	g_queue_push_tail(&engine->reports, report);
-	while (g_queue_get_length(&engine->reports) > 1) {
-		report_t *second = g_queue_peek_nth(&engine->reports, 1);
-
-		if (second->at > engine->now - engine->options.report_lag_ms)
-			return;
-		report_free(g_queue_pop_head(&engine->reports));
-	}
-}
-
 void engine_model_tick(engine_model_t *engine, ms_t now)
 {
 	engine->now = now;
@@ -510,7 +423,7 @@
 	if (now >= engine->next_step) {
 		engine->next_step = now + engine->options.step_ms;
 		step(engine);
-		record_report(engine);
+		engine_record_report(engine);
 	}
 	drop_detached(engine);
 }
@@ -544,123 +457,10 @@
 		g_clear_pointer(&slot->adapter, g_free);
 	}
 	engine->fence = 0;
-	g_queue_clear_full(&engine->reports, report_free);
+	engine_forget_reports(engine);
 }
 
 void engine_model_freeze(engine_model_t *engine, gboolean is_frozen)
 {
 	engine->is_frozen = is_frozen;
 }
-
-static int count_running(engine_model_t *engine, const char *adapter)
-{
-	engine_run_t *run;
-	int count = 0;
-
-	TAILQ_FOREACH (run, &engine->runs, link) {
-		if (!run->is_finished && !strcmp(run->adapter, adapter))
-			count++;
-	}
-	return count;
-}
-
-static char *render(JsonBuilder *builder)
-{
-	JsonNode *root = json_builder_get_root(builder);
-	char *text = json_to_string(root, FALSE);
-
-	json_node_free(root);
-	g_object_unref(builder);
-	return text;
-}
-
-static void add_int(JsonBuilder *builder, const char *name, int64_t value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_int_value(builder, value);
-}
-
-static void add_text(JsonBuilder *builder, const char *name, const char *value)
-{
-	json_builder_set_member_name(builder, name);
-	json_builder_add_string_value(builder, value);
-}
-
-static char *render_report(engine_model_t *engine)
-{
-	JsonBuilder *builder = json_builder_new();
-	engine_run_t *run;
-	int waiting = 0;
-	int i;
-
-	TAILQ_FOREACH (run, &engine->runs, link) {
-		if (!run->is_running && !run->is_finished)
-			waiting++;
-	}
-	json_builder_begin_object(builder);
-	add_int(builder, "fence", engine->fence);
-	add_int(builder, "running", engine->running);
-	add_int(builder, "waiting", waiting);
-	add_int(builder, "places", engine->options.places);
-	json_builder_set_member_name(builder, "slots");
-	json_builder_begin_array(builder);
-	for (i = 0; i < engine->options.slots; i++) {
-		const slot_t *slot = &engine->slots[i];
-		const char *adapter = slot->adapter ? slot->adapter : "";
-
-		json_builder_begin_object(builder);
-		add_int(builder, "slot", i);
-		add_text(builder, "state", slot_names[slot->state]);
-		add_text(builder, "adapter", adapter);
-		add_int(builder, "running", count_running(engine, adapter));
-		json_builder_end_object(builder);
-	}
-	json_builder_end_array(builder);
-	json_builder_end_object(builder);
-	return render(builder);
-}
-
-char *engine_model_report(engine_model_t *engine)
-{
-	const report_t *oldest = g_queue_peek_head(&engine->reports);
-
-	if (!oldest)
-		return render_report(engine);
-	return g_strdup(oldest->text);
-}
-
-char *engine_model_ledger(engine_model_t *engine)
-{
-	JsonBuilder *builder = json_builder_new();
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-	guint i;
-
-	json_builder_begin_object(builder);
-	add_int(builder, "steps", (int64_t)engine->steps);
-	add_int(builder, "step_places", (int64_t)engine->step_places);
-	json_builder_set_member_name(builder, "violations");
-	json_builder_begin_array(builder);
-	for (i = 0; i < engine->violations->len; i++)
-		json_builder_add_string_value(builder,
-					      engine->violations->pdata[i]);
-	json_builder_end_array(builder);
-	json_builder_set_member_name(builder, "runs");
-	json_builder_begin_array(builder);
-	g_hash_table_iter_init(&iter, engine->ledger);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const ledger_entry_t *entry = value;
-
-		json_builder_begin_object(builder);
-		add_text(builder, "request", key);
-		add_text(builder, "adapter", entry->adapter);
-		add_int(builder, "count", entry->count);
-		add_int(builder, "finished", entry->finished);
-		add_int(builder, "tokens", entry->tokens);
-		json_builder_end_object(builder);
-	}
-	json_builder_end_array(builder);
-	json_builder_end_object(builder);
-	return render(builder);
-}
--- /dev/null
+++ b/lib/standin/engine_model_private.h
@@ -0,0 +1,72 @@
+#ifndef STANDIN_ENGINE_MODEL_PRIVATE_H
+#define STANDIN_ENGINE_MODEL_PRIVATE_H
+
+/* What engine_model.c (runs, orders) and engine_model_report.c share. */
+
+#include <sys/queue.h>
+
+#include "standin/engine_model.h"
+
+typedef enum { SLOT_EMPTY, SLOT_LOADING, SLOT_RESIDENT } slot_state_t;
+
+typedef struct {
+	slot_state_t state;
+	char *adapter;
+	ms_t load_end;
+	void *order;
+} slot_t;
+
+typedef struct {
+	char *adapter;
+	int count;    /* how often the request began */
+	int finished; /* how often it came to its end */
+	int tokens;
+} ledger_entry_t;
+
+struct engine_run {
+	TAILQ_ENTRY(engine_run) link;
+	char *request;
+	char *adapter;
+	char *prompt;
+	int priority;
+	int max_tokens;
+	int produced;
+	int from;	     /* the first token that the reader wants */
+	gboolean is_running; /* has a place */
+	gboolean is_finished;
+	void *reader;
+	ms_t detached_at;
+};
+
+TAILQ_HEAD(run_list, engine_run);
+
+typedef struct {
+	ms_t at;
+	char *text;
+} report_t;
+
+struct engine_model {
+	engine_options_t options;
+	engine_events_t events;
+	store_model_t *store;
+	char *order_token;
+	slot_t *slots;
+	struct run_list runs;
+	int running;
+	ms_t now;
+	ms_t next_step;
+	int64_t fence;
+	int failing_loads;
+	gboolean is_frozen;
+	GHashTable *ledger; /* request to ledger_entry_t */
+	GPtrArray *violations;
+	GQueue reports; /* older ones than the lag are dropped */
+	uint64_t steps;
+	uint64_t step_places; /* places used, summed over the steps */
+};
+
+/* Take down the present state; it is told after the report lag. */
+void engine_record_report(engine_model_t *engine);
+void engine_forget_reports(engine_model_t *engine);
+
+#endif
--- a/t/lib/fake_kv_internal.h
+++ b/t/lib/fake_kv_internal.h
@@ -1,7 +1,10 @@
 #ifndef FAKE_KV_INTERNAL_H
 #define FAKE_KV_INTERNAL_H
 
-/* State shared by the calls (fake_kv.c) and the watches (fake_kv_watch.c). */
+/*
+ * What the time and the faults (fake_kv.c), the calls (fake_kv_call.c) and the
+ * watches (fake_kv_watch.c) share.
+ */
 
 #include "fake_kv.h"
 
@@ -41,7 +44,10 @@
 void fake_kv_push(fake_kv_t *fake, const event_t *event);
 ms_t fake_kv_random(fake_kv_t *fake, ms_t min, ms_t max);
 ms_t fake_kv_delay(fake_kv_t *fake);
-void fake_kv_item_clear(gpointer item);
+gboolean fake_kv_chance(fake_kv_t *fake, int share); /* of 1000 */
+
+/* fake_kv_call.c */
+extern const kv_calls_t fake_kv_calls;
 
 /* fake_kv_watch.c */
 kv_watch_t *fake_kv_watch(void *ctx, const char *prefix, int64_t after,
@@ -52,6 +58,9 @@
 void fake_kv_watch_tell(void *watch, const kv_record_t *record);
 void fake_kv_watch_drop_all(connection_t *connection);
 
+/* One way, without faults. */
+#define FAKE_KV_DELAY_MS 1
+
 /* Silence after which a broken connection is noticed. */
 #define FAKE_KV_SILENCE_MS 5000
 
--- a/t/lib/fake_kv_watch.c
+++ b/t/lib/fake_kv_watch.c
@@ -31,7 +31,7 @@
 {
 	watch_event_t *event = data;
 
-	fake_kv_item_clear(&event->item);
+	kv_item_release(&event->item);
 	watch_unref(event->watch);
 	g_free(event);
 }
