--- a/lib/standin/engine_model_report.c
+++ b/lib/standin/engine_model_report.c
@@ -54,7 +54,8 @@
 		json_build_int(builder, "slot", i);
 		json_build_text(builder, "state", slot_names[slot->state]);
 		json_build_text(builder, "adapter", adapter);
-		json_build_int(builder, "running", count_running(engine, adapter));
+		json_build_int(builder, "running",
+			       count_running(engine, adapter));
 		json_builder_end_object(builder);
 	}
 	json_builder_end_array(builder);
