--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -12,7 +12,7 @@
 
 /*
  * Engines whose holders are asked before the request is refused.  Trial: with
- * five, trouble-3 of the grown tuul-hire rose by 0.07 of worth.
+ * five, a day of trouble on 70 instances rose by 0.07 of worth.
  */
 #define ASKS_MAX 5
 
