front, route, owner: remove what nothing calls

Left: destroy functions, that stand in pairs, and grants_endpoint_gone(), whose missing caller is a finding (a broker keeps the wants of an endpoint whose owner died until they are granted and expire).

--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -14,15 +14,10 @@
  */
 #define DOWN_RETRY_MS 200
 
-/*
- * How long a request may wait for its adapter, if not longer for a place: two
- * loads of the usual 250 ms and an answer.
- */
-#define LOAD_WAIT_MS 600
-/* Of an engine; chosen, hundreds of times what 150 adapters take. */
+/* Of an engine; chosen: far above what 150 adapters take. */
 #define REPORT_MAX_BYTES (256 * 1024)
 
-/* Time to come back when there was no room for an adapter; chosen: a load. */
+/* Time to come back when there was no room for an adapter; chosen: a load is over. */
 #define ADAPTER_RETRY_MS 400
 
 static ms_t now_of(const adapters_t *adapters)
--- a/lib/front/caller.c
+++ b/lib/front/caller.c
@@ -527,16 +527,6 @@
 	return callers;
 }
 
-int callers_port(const callers_t *callers)
-{
-	struct sockaddr_in address;
-	int size = sizeof(address);
-
-	uv_tcp_getsockname(&callers->listener, (struct sockaddr *)&address,
-			   &size);
-	return ntohs(address.sin_port);
-}
-
 void callers_drain(callers_t *callers)
 {
 	callers->is_draining = TRUE;
--- a/lib/front/caller.h
+++ b/lib/front/caller.h
@@ -44,7 +44,6 @@
 callers_t *callers_create(const callers_options_t *options,
 			  const callers_events_t *events, void *ctx,
 			  GError **error);
-int callers_port(const callers_t *callers);
 
 /* Close each connection after its present answer. */
 void callers_drain(callers_t *callers);
--- a/lib/front/link.c
+++ b/lib/front/link.c
@@ -499,11 +499,6 @@
 	return exchange;
 }
 
-gboolean exchange_is_sent(const exchange_t *exchange)
-{
-	return exchange->link && exchange->link->state == LINK_BUSY;
-}
-
 void exchange_set_idle(exchange_t *exchange, ms_t idle)
 {
 	if (idle > 0)
--- a/lib/front/link.h
+++ b/lib/front/link.h
@@ -54,9 +54,6 @@
 		       GString *text, gboolean is_head_method,
 		       const link_events_t *events, void *ctx);
 
-/* Whether the connection is up, so that the request has left. */
-gboolean exchange_is_sent(const exchange_t *exchange);
-
 /* The idle time that the endpoint stated for this connection. */
 void exchange_set_idle(exchange_t *exchange, ms_t idle);
 
--- a/lib/owner/endpoint.c
+++ b/lib/owner/endpoint.c
@@ -219,14 +219,6 @@
 	return endpoint->slots;
 }
 
-int endpoint_load(const endpoint_t *endpoint)
-{
-	slots_load_t load;
-
-	slots_load(endpoint->slots, endpoint_now(endpoint), &load);
-	return load.running + load.waiting;
-}
-
 gboolean endpoint_knows(const endpoint_t *endpoint, const char *request)
 {
 	return g_hash_table_contains(endpoint->by_request, request);
--- a/lib/owner/endpoint.h
+++ b/lib/owner/endpoint.h
@@ -153,9 +153,6 @@
 int64_t endpoint_epoch(const endpoint_t *endpoint);
 slots_t *endpoint_slots(endpoint_t *endpoint);
 
-/* Requests in flight or queued. */
-int endpoint_load(const endpoint_t *endpoint);
-
 /* Runs in flight or kept, with this identifier. */
 gboolean endpoint_knows(const endpoint_t *endpoint, const char *request);
 
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -158,33 +158,6 @@
 	return g_hash_table_lookup(fleet->endpoints, id);
 }
 
-guint fleet_count(const fleet_t *fleet, const char *service)
-{
-	GHashTableIter iter;
-	gpointer value;
-	guint count = 0;
-
-	g_hash_table_iter_init(&iter, fleet->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const fleet_endpoint_t *endpoint = value;
-
-		count += endpoint->is_usable &&
-			 !strcmp(endpoint->service, service);
-	}
-	return count;
-}
-
-void fleet_each(const fleet_t *fleet,
-		void (*visit)(void *ctx, fleet_endpoint_t *endpoint), void *ctx)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, fleet->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		visit(ctx, value);
-}
-
 const char *fleet_endpoint_id(const fleet_endpoint_t *endpoint)
 {
 	return endpoint->id;
@@ -219,11 +192,6 @@
 	       g_strv_contains((const char *const *)endpoint->models, model);
 }
 
-int64_t fleet_endpoint_started_at(const fleet_endpoint_t *endpoint)
-{
-	return endpoint->started_at;
-}
-
 gboolean fleet_endpoint_is_usable(const fleet_endpoint_t *endpoint)
 {
 	return endpoint->is_usable;
@@ -248,11 +216,6 @@
 		g_hash_table_remove(endpoint->adapters, adapter);
 }
 
-void fleet_endpoint_forget_adapters(fleet_endpoint_t *endpoint)
-{
-	g_hash_table_remove_all(endpoint->adapters);
-}
-
 void fleet_endpoint_begin(fleet_endpoint_t *endpoint)
 {
 	endpoint->in_flight++;
@@ -264,11 +227,6 @@
 	endpoint->in_flight--;
 }
 
-int fleet_endpoint_in_flight(const fleet_endpoint_t *endpoint)
-{
-	return endpoint->in_flight;
-}
-
 void fleet_endpoint_note_load(fleet_endpoint_t *endpoint, ms_t now,
 			      const endpoint_load_t *load)
 {
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -61,14 +61,6 @@
 /* The listed incarnation, or NULL. */
 fleet_endpoint_t *fleet_find(const fleet_t *fleet, const char *id);
 
-/* Listed endpoints of a service that are not leaving. */
-guint fleet_count(const fleet_t *fleet, const char *service);
-
-/* Visit all listed endpoints. */
-void fleet_each(const fleet_t *fleet,
-		void (*visit)(void *ctx, fleet_endpoint_t *endpoint),
-		void *ctx);
-
 /* A reference keeps an incarnation alive after it was removed. */
 fleet_endpoint_t *fleet_endpoint_ref(fleet_endpoint_t *endpoint);
 void fleet_endpoint_unref(fleet_endpoint_t *endpoint);
@@ -81,7 +73,6 @@
 /* Whether it holds this base model; TRUE for NULL. */
 gboolean fleet_endpoint_has_model(const fleet_endpoint_t *endpoint,
 				  const char *model);
-int64_t fleet_endpoint_started_at(const fleet_endpoint_t *endpoint);
 /* FALSE once it is leaving, gone or replaced. */
 gboolean fleet_endpoint_is_usable(const fleet_endpoint_t *endpoint);
 
@@ -91,12 +82,10 @@
 /* A version of 0 means that the adapter is no longer there. */
 void fleet_endpoint_set_adapter(fleet_endpoint_t *endpoint, const char *adapter,
 				int64_t version);
-void fleet_endpoint_forget_adapters(fleet_endpoint_t *endpoint);
 
 /* A request was sent, and has ended. */
 void fleet_endpoint_begin(fleet_endpoint_t *endpoint);
 void fleet_endpoint_end(fleet_endpoint_t *endpoint);
-int fleet_endpoint_in_flight(const fleet_endpoint_t *endpoint);
 
 void fleet_endpoint_note_load(fleet_endpoint_t *endpoint, ms_t now,
 			      const endpoint_load_t *load);
