--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -17,7 +17,8 @@
 /* Of an engine; chosen: far above what 150 adapters take. */
 #define REPORT_MAX_BYTES (256 * 1024)
 
-/* Time to come back when there was no room for an adapter; chosen: a load is over. */
+/* Time to come back when there was no room for an adapter; chosen: a load is
+ * over. */
 #define ADAPTER_RETRY_MS 400
 
 static ms_t now_of(const adapters_t *adapters)
