front: keep the text of why an exchange ended

Cause: hands the reader's reason to on_end, a text that is freed after the call; a forward kept the pointer for its log line. A stream that broke off and was resumed logged freed memory, or ended hc-front.

The forward keeps a copy; link.h says how long the text is there.

t0802 checks the reason in the log.

--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -218,7 +218,8 @@
 		answer_is_whole(forward);
 		return;
 	}
-	forward->why = why;
+	g_strlcpy(forward->ended, why, sizeof(forward->ended));
+	forward->why = forward->ended;
 	g_byte_array_set_size(forward->held, 0);
 	g_string_truncate(forward->event, 0);
 	fleet_endpoint_note_failure(forward->endpoint, forward_now(forward));
--- a/lib/front/forward_private.h
+++ b/lib/front/forward_private.h
@@ -28,6 +28,9 @@
  */
 #define RETRY_FULL_MS 250
 
+/* Bytes of a reason that are kept; the longest of today has 90. */
+#define WHY_MAX 128
+
 typedef enum {
 	FORWARD_WAITING, /* for the engine's holder */
 	FORWARD_SENT,	 /* at an endpoint */
@@ -75,7 +78,8 @@
 	ms_t data_at;	 /* when the last part of the answer came */
 	ms_t gap;	 /* the longest pause between two parts */
 	uv_timer_t timer;
-	const char *why; /* the last thing that went wrong */
+	const char *why;     /* what went wrong last: a constant, or ended */
+	char ended[WHY_MAX]; /* why the last exchange ended */
 };
 
 /* forward.c: where it goes. */
--- a/lib/front/link.h
+++ b/lib/front/link.h
@@ -31,7 +31,7 @@
 	/* FALSE gives the answer up: on_end follows with LINK_BROKEN. */
 	gboolean (*on_head)(void *ctx, const http1_head_t *head);
 	void (*on_data)(void *ctx, const char *data, size_t size);
-	/* why is a short reason for logs. */
+	/* why is a short reason for logs, there until on_end returns. */
 	void (*on_end)(void *ctx, link_result_t result, const char *why);
 } link_events_t;
 
--- a/t/t0802-front-faults.sh
+++ b/t/t0802-front-faults.sh
@@ -77,6 +77,11 @@
 	'adapter 1 a1 | sed -n "s/^data: piece //p" | sort -n -c && echo yes' <<\END
 yes
 END
+expect 'the log says why it went on elsewhere' eval \
+	'grep "\"route\":\"resume\".*\"sends\":\"2\"" "$work/front1.out" |
+	sed "s/.*\"why\":\"\([^\"]*\)\".*/\1/" | sort -u' <<\END
+the bytes are no HTTP/1 message: invalid character in chunk size header
+END
 control engine-2 mode=cut
 path_of_stream=/stream/
 looks_whole () {
