owner, sched: forget what the former owner of an endpoint wanted

Cause: nothing called grants_endpoint_gone(); the broker kept the wants of an owner that died until each was granted, and the grants went to the new owner, which had not asked for them: it returned each, and a share of the rate was late by a message each way. Ruled out: wants that the client withdraws (it is dead).

A want from another instance than before shows the new owner; what the former one wanted goes. Loads under way stay counted: the engine goes on with them. test-grants: on the former code i3 is granted what i2 asked for.

--- a/lib/owner/grants.c
+++ b/lib/owner/grants.c
@@ -42,9 +42,16 @@
 		grants->actions.send(grants->ctx, asker, &grant);
 }
 
+/* An endpoint for which another instance asks has a new owner. */
 static void note_asker(grants_t *grants, const char *endpoint,
 		       const char *instance)
 {
+	const char *former = g_hash_table_lookup(grants->askers, endpoint);
+
+	if (former && !strcmp(former, instance))
+		return;
+	if (former)
+		broker_owner_changed(grants->broker, endpoint);
 	g_hash_table_replace(grants->askers, g_strdup(endpoint),
 			     g_strdup(instance));
 }
@@ -229,12 +236,6 @@
 	}
 }
 
-void grants_endpoint_gone(grants_t *grants, const char *endpoint)
-{
-	broker_endpoint_gone(grants->broker, endpoint);
-	g_hash_table_remove(grants->askers, endpoint);
-}
-
 gboolean grants_is_busy(const grants_t *grants)
 {
 	return is_broker(grants) && broker_waiting(grants->broker);
--- a/lib/owner/grants.h
+++ b/lib/owner/grants.h
@@ -50,9 +50,6 @@
 void grants_receive(grants_t *grants, const char *from, const void *message,
 		    ms_t now);
 
-/* An endpoint changed its owner, or is gone. */
-void grants_endpoint_gone(grants_t *grants, const char *endpoint);
-
 void grants_tick(grants_t *grants, ms_t now);
 
 /* Whether a load that was asked for here waits for a grant. */
--- a/lib/sched/broker.c
+++ b/lib/sched/broker.c
@@ -190,10 +190,9 @@
 	g_free(key);
 }
 
-void broker_endpoint_gone(broker_t *broker, const char *endpoint)
+void broker_owner_changed(broker_t *broker, const char *endpoint)
 {
 	want_t *want = TAILQ_FIRST(&broker->order);
-	transit_t *transit = TAILQ_FIRST(&broker->expiry);
 
 	while (want) {
 		want_t *next = TAILQ_NEXT(want, link);
@@ -202,6 +201,13 @@
 			want_remove(broker, want);
 		want = next;
 	}
+}
+
+void broker_endpoint_gone(broker_t *broker, const char *endpoint)
+{
+	transit_t *transit = TAILQ_FIRST(&broker->expiry);
+
+	broker_owner_changed(broker, endpoint);
 	while (transit) {
 		transit_t *next = TAILQ_NEXT(transit, link);
 
--- a/lib/sched/broker.h
+++ b/lib/sched/broker.h
@@ -59,7 +59,10 @@
 void broker_returned(broker_t *broker, ms_t now, const char *endpoint,
 		     const char *adapter);
 
-/* The endpoint has gone or has a new owner: forget its wants and loads. */
+/* The endpoint has a new owner: forget its wants; loads under way go on. */
+void broker_owner_changed(broker_t *broker, const char *endpoint);
+
+/* The endpoint has gone: forget its wants and loads. */
 void broker_endpoint_gone(broker_t *broker, const char *endpoint);
 
 /* Grant what may be granted; returns the time of the next call. */
