owner, own, sched: an order that is not given is no failed load

The next owner of an engine may not touch what an earlier one may still use; its slots counted a second copy of an adapter as an empty slot, chose it for each load, and ownership refused the order without a line in the log. That was counted as a failed load: three of them refused all who waited, and the pause between them doubled up to 30 s. Ruled out: the engine (no order reached it: no "order failed"), the lease and the fence (the new log line names the reason: requests of an earlier owner may run, each time).

The reason is a type and is logged; an order not given is no failure; a slot that an earlier owner may use is left alone until its requests have ended, so that the load goes to another slot.

--- a/lib/own/ownership.h
+++ b/lib/own/ownership.h
@@ -134,6 +134,22 @@
 gboolean ownership_may_use(const ownership_t *own, const char *endpoint,
 			   guint slot);
 
+/* Why no intent may be given for a slot now. */
+typedef enum {
+	OBSTACLE_NONE,
+	OBSTACLE_NOT_OWNED,
+	OBSTACLE_QUARANTINE, /* an order of before may still change the slot */
+	OBSTACLE_LEASE,	     /* it is not certain any more */
+	OBSTACLE_FENCE,	     /* the engine has not accepted it yet */
+	OBSTACLE_OPEN,	     /* an order for the slot is under way */
+	/* Requests of an earlier owner may run with what the slot holds. */
+	OBSTACLE_INHERITED
+} obstacle_t;
+
+obstacle_t ownership_obstacle(const ownership_t *own, ms_t now,
+			      const char *endpoint, guint slot);
+const char *obstacle_name(obstacle_t obstacle);
+
 /* May an intent be given to replace or unload what the slot holds? */
 gboolean ownership_may_change(const ownership_t *own, ms_t now,
 			      const char *endpoint, guint slot);
--- a/lib/own/ownership_hold.c
+++ b/lib/own/ownership_hold.c
@@ -163,18 +163,48 @@
 	       !endpoint->slots[i].is_quarantined;
 }
 
-gboolean ownership_may_change(const ownership_t *own, ms_t now, const char *id,
+obstacle_t ownership_obstacle(const ownership_t *own, ms_t now, const char *id,
 			      guint i)
 {
 	const own_endpoint_t *endpoint = own_owned(own, id);
 	const slot_intent_t *intent;
 
-	if (!ownership_may_use(own, id, i) || !own_may_act(endpoint, now))
-		return FALSE;
+	if (!endpoint || i >= endpoint->record->slot_count)
+		return OBSTACLE_NOT_OWNED;
+	if (endpoint->slots[i].is_quarantined)
+		return OBSTACLE_QUARANTINE;
+	if (!own_is_certain(endpoint, now))
+		return OBSTACLE_LEASE;
+	if (!own_may_act(endpoint, now))
+		return OBSTACLE_FENCE;
 	intent = &endpoint->record->slots[i];
-	return !intent_is_open(intent) &&
-	       (!intent->adapter ||
-		!g_hash_table_contains(endpoint->inherited, intent->adapter));
+	if (intent_is_open(intent))
+		return OBSTACLE_OPEN;
+	if (intent->adapter &&
+	    g_hash_table_contains(endpoint->inherited, intent->adapter))
+		return OBSTACLE_INHERITED;
+	return OBSTACLE_NONE;
+}
+
+const char *obstacle_name(obstacle_t obstacle)
+{
+	static const char *const names[] = {
+		[OBSTACLE_NONE] = "none",
+		[OBSTACLE_NOT_OWNED] = "not owned",
+		[OBSTACLE_QUARANTINE] = "the slot is in quarantine",
+		[OBSTACLE_LEASE] = "the lease is not certain",
+		[OBSTACLE_FENCE] = "the engine is not fenced",
+		[OBSTACLE_OPEN] = "an order for the slot is open",
+		[OBSTACLE_INHERITED] = "requests of an earlier owner may run",
+	};
+
+	return names[obstacle];
+}
+
+gboolean ownership_may_change(const ownership_t *own, ms_t now, const char *id,
+			      guint i)
+{
+	return ownership_obstacle(own, now, id, i) == OBSTACLE_NONE;
 }
 
 static gboolean is_running(const ownership_slot_report_t *slots, guint count,
--- a/lib/owner/endpoint.h
+++ b/lib/owner/endpoint.h
@@ -104,8 +104,12 @@
 /* The answer to the intend action. */
 void endpoint_intended(endpoint_t *endpoint, int slot, gboolean ok);
 
-/* The same for "no" from within the intend action; takes effect later. */
-void endpoint_refuse_order(endpoint_t *endpoint, int slot);
+/*
+ * The same for "no" from within the intend action; takes effect later.  What an
+ * earlier owner may still use is left alone until endpoint_idle().
+ */
+void endpoint_refuse_order(endpoint_t *endpoint, int slot,
+			   gboolean is_inherited);
 
 /* A grant of the broker; FALSE if it is of no use. */
 gboolean endpoint_grant(endpoint_t *endpoint, const char *adapter);
--- a/lib/owner/endpoint_order.c
+++ b/lib/owner/endpoint_order.c
@@ -42,6 +42,28 @@
 	g_free(adapter);
 }
 
+/* No load has failed; the slot is not tried again while it is inherited. */
+static void order_not_given(slot_order_t *order)
+{
+	endpoint_t *endpoint = order->endpoint;
+	char *adapter = g_steal_pointer(&order->adapter);
+	ms_t now = endpoint_now(endpoint);
+
+	order->state = ORDER_NONE;
+	if (order->is_load) {
+		if (order->is_inherited)
+			slots_quarantine(endpoint->slots, now, order->slot);
+		endpoint->actions->load_ended(endpoint->ctx, endpoint, adapter,
+					      TRUE);
+		slots_load_not_given(endpoint->slots, now, order->slot);
+	} else {
+		if (order->is_inherited)
+			slots_set_foreign(endpoint->slots, order->slot);
+		slots_unload_ended(endpoint->slots, now, order->slot, FALSE);
+	}
+	g_free(adapter);
+}
+
 /* Whether the engine may still carry out an order that failed so. */
 static gboolean is_order_open(const GError *error)
 {
@@ -86,6 +108,13 @@
 	end_order(order, error == NULL);
 }
 
+static void log_not_given(const slot_order_t *order, const char *reason)
+{
+	log_warn("order not given", "endpoint", order->endpoint->id, "order",
+		 order->is_load ? "load" : "unload", "adapter", order->adapter,
+		 "reason", reason, NULL);
+}
+
 void endpoint_intended(endpoint_t *endpoint, int slot, gboolean ok)
 {
 	slot_order_t *order = &endpoint->orders[slot];
@@ -94,14 +123,16 @@
 	if (order->state != ORDER_INTENDED)
 		return;
 	if (!ok) {
-		end_order(order, FALSE);
+		log_not_given(order, "the intent is not recorded");
+		order_not_given(order);
 		return;
 	}
 	if (!endpoint->actions->may_order(endpoint->ctx, endpoint, slot,
 					  &fence)) {
+		log_not_given(order, "the lease ended meanwhile");
 		endpoint->actions->settled(endpoint->ctx, endpoint, slot,
 					   held_after(order, FALSE));
-		end_order(order, FALSE);
+		order_not_given(order);
 		return;
 	}
 	order->state = ORDER_SENT;
@@ -110,9 +141,11 @@
 				 order->adapter, fence, on_order_done, order);
 }
 
-void endpoint_refuse_order(endpoint_t *endpoint, int slot)
+void endpoint_refuse_order(endpoint_t *endpoint, int slot,
+			   gboolean is_inherited)
 {
 	endpoint->orders[slot].state = ORDER_REFUSED;
+	endpoint->orders[slot].is_inherited = is_inherited;
 }
 
 void endpoint_order_tick(endpoint_t *endpoint)
@@ -121,7 +154,7 @@
 
 	for (i = 0; i < endpoint->slot_count; i++) {
 		if (endpoint->orders[i].state == ORDER_REFUSED)
-			end_order(&endpoint->orders[i], FALSE);
+			order_not_given(&endpoint->orders[i]);
 	}
 }
 
@@ -285,11 +318,23 @@
 	endpoint->is_watched = TRUE;
 }
 
+/* An empty slot that was left alone may be used, or is refused once more. */
+static void release_inherited(endpoint_t *endpoint, slot_order_t *order)
+{
+	if (!order->is_inherited)
+		return;
+	order->is_inherited = FALSE;
+	if (order->is_load && order->state == ORDER_NONE)
+		slots_release(endpoint->slots, endpoint_now(endpoint),
+			      order->slot);
+}
+
 void endpoint_idle(endpoint_t *endpoint, const char *adapter)
 {
 	int i;
 
 	for (i = 0; i < endpoint->slot_count; i++) {
+		release_inherited(endpoint, &endpoint->orders[i]);
 		if (!g_strcmp0(slots_adapter(endpoint->slots, i), adapter))
 			slots_reported_idle(endpoint->slots,
 					    endpoint_now(endpoint), i);
--- a/lib/owner/endpoint_private.h
+++ b/lib/owner/endpoint_private.h
@@ -26,6 +26,7 @@
 	int slot;
 	order_state_t state;
 	gboolean is_load;
+	gboolean is_inherited; /* left alone until endpoint_idle() */
 	char *adapter;
 	link_task_t *task; /* while sent */
 } slot_order_t;
--- a/lib/owner/hosting.c
+++ b/lib/owner/hosting.c
@@ -38,7 +38,7 @@
 	hosting_t *hosting = ctx;
 
 	if (endpoint_is_retired(endpoint)) {
-		endpoint_refuse_order(endpoint, slot);
+		endpoint_refuse_order(endpoint, slot, FALSE);
 		return;
 	}
 	hosting->actions.intend(hosting->ctx, endpoint, slot, adapter, is_load);
--- a/lib/owner/tenure.c
+++ b/lib/owner/tenure.c
@@ -315,9 +315,15 @@
 {
 	const char *id = endpoint_id(endpoint);
 	ms_t now = now_of(tenure);
-
-	if (!ownership_may_change(tenure->own, now, id, (guint)slot)) {
-		endpoint_refuse_order(endpoint, slot);
+	obstacle_t obstacle =
+		ownership_obstacle(tenure->own, now, id, (guint)slot);
+
+	if (obstacle != OBSTACLE_NONE) {
+		log_warn("order not given", "endpoint", id, "order",
+			 is_load ? "load" : "unload", "adapter", adapter,
+			 "reason", obstacle_name(obstacle), NULL);
+		endpoint_refuse_order(endpoint, slot,
+				      obstacle == OBSTACLE_INHERITED);
 		return;
 	}
 	ownership_intend(tenure->own, now, id, (guint)slot,
--- a/lib/sched/slots.h
+++ b/lib/sched/slots.h
@@ -129,6 +129,9 @@
 void slots_load_ended(slots_t *slots, ms_t now, int slot, gboolean ok);
 void slots_unload_ended(slots_t *slots, ms_t now, int slot, gboolean ok);
 
+/* The load was not ordered.  It counts as no failure and is wanted again. */
+void slots_load_not_given(slots_t *slots, ms_t now, int slot);
+
 /* A pinned adapter is not unloaded; pins are counted. */
 void slots_pin(slots_t *slots, const char *adapter);
 void slots_unpin(slots_t *slots, ms_t now, const char *adapter);
@@ -165,6 +168,9 @@
 void slots_resident(slots_t *slots, ms_t now, int slot, const char *adapter);
 void slots_reported_idle(slots_t *slots, ms_t now, int slot);
 
+/* Requests of an earlier owner may run with what the slot holds. */
+void slots_set_foreign(slots_t *slots, int slot);
+
 /*
  * The engine restarted and holds nothing; loads and unloads under way are void.
  * Requests in flight are still to be reported ended, and only then free their
--- a/lib/sched/slots_load.c
+++ b/lib/sched/slots_load.c
@@ -322,6 +322,22 @@
 	slots_pump(slots, now);
 }
 
+void slots_load_not_given(slots_t *slots, ms_t now, int index)
+{
+	slot_t *slot = &slots->slots[index];
+	slots_adapter_t *adapter = slot->adapter;
+
+	g_assert(slot->state == SLOT_LOADING && adapter->slot == index);
+	slot->since = now;
+	slot->state = SLOT_EMPTY;
+	slot->adapter = NULL;
+	adapter->slot = SLOT_NONE;
+	/* It goes to another slot if this one is not to be had. */
+	if (!slot->quarantined)
+		adapter->retry_at = now + BACKOFF_MIN_MS;
+	slots_pump(slots, now);
+}
+
 /* The adapter that was to follow into a slot goes back to wanting one. */
 static void give_up_next(slots_t *slots, slot_t *slot)
 {
@@ -418,6 +434,11 @@
 	slots_pump(slots, now);
 }
 
+void slots_set_foreign(slots_t *slots, int index)
+{
+	slots->slots[index].adapter->foreign = TRUE;
+}
+
 static void empty_slot(slots_t *slots, slot_t *slot);
 
 void slots_release_as(slots_t *slots, ms_t now, int index, const char *name)
