hold: poll less often while told of all news

Who is told polls every sixteen poll times, within the history that the store keeps. A telling that is missing, or names a revision that does not follow, still makes it poll at once (test-relay).

--- a/lib/hold/relay.h
+++ b/lib/hold/relay.h
@@ -34,9 +34,11 @@
  */
 #define RELAY_SILENT_POLLS 2
 
-/* An instance that is told polls at least once in so many poll times; chosen.
+/*
+ * An instance that is told polls at least once in so many poll times, so that
+ * its revision stays within the history that the service keeps: 10 s of 20 s.
  */
-#define RELAY_SKIPS_MAX 6
+#define RELAY_SKIPS_MAX 16
 
 typedef struct relay relay_t;
 
