hold: learn how crowded the store of weights is

Cause: two loads beside each other at one engine were presumed to take 2.5 times as long on the grown sites, four of them five times, as if all sixty engines loaded as much. Requests waited for a report instead, and those behind several loads were refused as "too many loads are ahead", the most frequent refusal. Ruled out: loads that are ordered late (four may be on their way and are), requests that wait for a place (of the calm requests that no load is near, 1 in 100 waits above 500 ms).

The crowding is learned from reports that show a load done early, and from late ones. test-hold test_quiet_fleet names the load; on the former code the second of two loads is usable after 625 ms instead of 250.

--- a/lib/hold/adapter_cache.c
+++ b/lib/hold/adapter_cache.c
@@ -10,6 +10,7 @@
 	cache->actions = *actions;
 	cache->ctx = ctx;
 	cache->options = *options;
+	cache->crowding = 1;
 	cache->at_hand = g_queue_new();
 	cache->table = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&cache->entries);
@@ -140,16 +141,37 @@
 	cache_entry_release(cache, entry);
 }
 
-/*
- * Engines share the store of weights: while it is the bound, each load takes
- * its part of the store's time.
- */
+/* By how much a load takes longer beside others here. */
+static double slowdown(const adapter_cache_t *cache, int coming)
+{
+	double crowd = coming / cache->options.loads_per_engine;
+
+	return crowd > 1 ? 1 + cache->crowding * (crowd - 1) : 1;
+}
+
+void cache_load_was_early(adapter_cache_t *cache, const entry_t *entry)
+{
+	if (entry->is_crowded)
+		cache->crowding *= CACHE_CROWDING_KEPT;
+}
+
+void cache_load_was_late(adapter_cache_t *cache, const entry_t *entry)
+{
+	if (entry->is_crowded)
+		cache->crowding =
+			MIN(cache->crowding + CACHE_CROWDING_ADDED, 1);
+	else
+		*load_time(cache, entry->adapter) += CACHE_LATE_MS / 4;
+}
+
+/* As many as may be on their way at once take the time of one each. */
 ms_t adapter_cache_load_wait(const adapter_cache_t *cache, const char *adapter)
 {
 	const cache_options_t *options = &cache->options;
 	const entry_t *entry;
 	ms_t each =
-		(ms_t)((double)options->load_time / options->loads_per_engine);
+		(ms_t)((double)options->load_time *
+		       slowdown(cache, CACHE_COMING_MAX) / CACHE_COMING_MAX);
 	ms_t wait = 0;
 
 	if (find_at_hand(cache, adapter))
@@ -193,7 +215,7 @@
 	if (!entry || entry->state != STATE_RESIDENT)
 		return;
 	if (entry->is_presumed) {
-		*load_time(cache, adapter) += CACHE_LATE_MS / 4;
+		cache_load_was_late(cache, entry);
 		entry->state = STATE_LOADING;
 		entry->ready_at = now + CACHE_LATE_MS;
 	}
@@ -234,14 +256,16 @@
 	return coming;
 }
 
-static ms_t expected_time(adapter_cache_t *cache, const char *adapter)
+static ms_t expected_time(adapter_cache_t *cache, entry_t *entry)
 {
-	ms_t usual = *load_time(cache, adapter);
-	double crowd = count_coming(cache) / cache->options.loads_per_engine;
+	ms_t usual = *load_time(cache, entry->adapter);
+	int coming = count_coming(cache);
 
-	if (find_at_hand(cache, adapter) || crowd <= 1)
+	entry->is_crowded = !find_at_hand(cache, entry->adapter) &&
+			    coming > cache->options.loads_per_engine;
+	if (!entry->is_crowded)
 		return usual;
-	return (ms_t)((double)usual * crowd);
+	return (ms_t)((double)usual * slowdown(cache, coming));
 }
 
 static void order_took_effect(adapter_cache_t *cache, ms_t now)
@@ -255,7 +279,7 @@
 	if (cache->order_kind == CACHE_ORDER_LOAD) {
 		entry->state = STATE_LOADING;
 		entry->loading = MAX(entry->wanted, 1);
-		entry->ready_at = now + expected_time(cache, entry->adapter);
+		entry->ready_at = now + expected_time(cache, entry);
 	} else {
 		entry->state = STATE_UNLOADING;
 	}
--- a/lib/hold/adapter_cache.h
+++ b/lib/hold/adapter_cache.h
@@ -24,6 +24,11 @@
  * usual time of a load has passed; adapter_cache_missing() says that it was
  * not.
  *
+ * Loads beside each other share the store of weights with those of all other
+ * engines, which nobody here sees.  How crowded the store is, is learned: at
+ * first the others are taken to be as busy as this engine; loads that a report
+ * shows done before their time lower that, those that are late raise it.
+ *
  * Decision code: the time comes in with each call, actions go out through
  * callbacks, which must not call back.  Names of adapters are copied.
  */
@@ -70,6 +75,14 @@
  */
 #define CACHE_RETRY_MS 150
 
+/*
+ * How much of the crowding that was supposed is left when a load was done
+ * before its time, and what a late one adds, of 1; chosen: four loads of a wave
+ * are enough to see either.
+ */
+#define CACHE_CROWDING_KEPT  0.7
+#define CACHE_CROWDING_ADDED 0.25
+
 typedef struct adapter_cache adapter_cache_t;
 
 typedef enum {
@@ -122,10 +135,7 @@
 	int slot_count;	 /* adapters that the engine holds at once */
 	ms_t load_time;	 /* of an adapter from the store of weights */
 	ms_t again_time; /* of one that the engine held recently */
-	/*
-	 * Loads that the store of weights carries at full speed for each
-	 * engine; the others are taken to be as busy as this one.
-	 */
+	/* Loads that the store carries at full speed for each engine. */
 	double loads_per_engine;
 } cache_options_t;
 
--- a/lib/hold/adapter_cache_private.h
+++ b/lib/hold/adapter_cache_private.h
@@ -26,6 +26,7 @@
 	ms_t used_at;
 	int64_t loading;      /* the version that a load fetches */
 	ms_t ready_at;	      /* of a load: when it is presumed to be done */
+	gboolean is_crowded;  /* the load is taken to share the store */
 	gboolean is_presumed; /* resident, and not yet seen in a report */
 	ms_t presumed_at;
 } entry_t;
@@ -39,6 +40,8 @@
 	GHashTable *table; /* adapter to entry_t */
 	GQueue *at_hand;   /* names that the engine held, the newest first */
 	struct entry_list entries;
+	/* Of the other engines: 0 if they load nothing, 1 as much as this. */
+	double crowding;
 	gboolean is_known; /* a report was read */
 	gboolean has_model;
 	gboolean is_busy;
@@ -71,6 +74,9 @@
 void cache_entry_is_gone(adapter_cache_t *cache, entry_t *entry);
 /* What was to be unloaded stays. */
 void cache_unload_is_void(adapter_cache_t *cache);
+/* A load that was taken to share the store was done early, or was late. */
+void cache_load_was_early(adapter_cache_t *cache, const entry_t *entry);
+void cache_load_was_late(adapter_cache_t *cache, const entry_t *entry);
 /* The last order can have no further effect. */
 void cache_order_is_settled(adapter_cache_t *cache);
 
--- a/lib/hold/adapter_cache_report.c
+++ b/lib/hold/adapter_cache_report.c
@@ -56,12 +56,18 @@
 				entry->is_presumed &&
 				now - entry->presumed_at < CACHE_REPORT_LAG_MS;
 
+			if (entry->state == STATE_RESIDENT && !is_newer &&
+			    entry->is_presumed)
+				cache_load_was_late(cache, entry);
 			if (entry->state == STATE_ABSENT ||
 			    (entry->state == STATE_RESIDENT && !is_newer)) {
 				entry->state = STATE_LOADING;
 				entry->ready_at = now + CACHE_LATE_MS;
 			}
 		} else if (entry->state != STATE_UNLOADING) {
+			if (entry->state == STATE_LOADING &&
+			    now < entry->ready_at)
+				cache_load_was_early(cache, entry);
 			entry->is_presumed = FALSE;
 			cache_entry_is_ready(cache, now, entry,
 					     MAX(seen->version, 1));
--- a/t/unit/test-hold.c
+++ b/t/unit/test-hold.c
@@ -344,6 +344,99 @@
 	destroy(cache, &seen);
 }
 
+/* Load two adapters beside each other; returns when the second is usable. */
+static ms_t load_two(adapter_cache_t *cache, seen_t *seen, ms_t now,
+		     int64_t sequence, gboolean is_early)
+{
+	char *names[2];
+	cache_resident_t there[2];
+	ms_t due = now;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		names[i] = g_strdup_printf("m/%d", (int)sequence + i);
+		there[i] = (cache_resident_t){names[i], 1, FALSE};
+		want(cache, now, names[i]);
+		adapter_cache_tick(cache, now, TRUE);
+		adapter_cache_answered(cache, now, CACHE_ANSWER_ACCEPTED);
+	}
+	if (is_early)
+		report(cache, now + LOAD_MS, sequence + 2, there, 2);
+	while (!adapter_cache_version(cache, names[1]))
+		adapter_cache_tick(cache, ++due, FALSE);
+	report(cache, due + 1, sequence + 2, NULL, 0);
+	for (i = 0; i < 2; i++)
+		g_free(names[i]);
+	return due - now;
+}
+
+/*
+ * Load: many engines before one store, of which only this one loads several
+ * adapters at once.  The loads take no longer than one alone; once that was
+ * seen, requests no longer wait for a report, or are refused.  When loads are
+ * late the store is taken to be crowded again.
+ */
+static void test_quiet_fleet(void **state)
+{
+	static const cache_options_t options = {
+		.slot_count = 8,
+		.load_time = LOAD_MS,
+		.again_time = AGAIN_MS,
+		.loads_per_engine = 0.8,
+	};
+	seen_t seen = {.told = g_string_new(NULL)};
+	adapter_cache_t *cache =
+		adapter_cache_create(&options, &actions, &seen);
+	ms_t now = 0;
+	int64_t sequence = 0;
+	ms_t first;
+	ms_t quiet;
+	int i;
+
+	adapter_cache_tick(cache, 0, TRUE);
+	report(cache, 0, 0, NULL, 0);
+	first = load_two(cache, &seen, now, sequence, FALSE);
+	assert_int_equal(first, LOAD_MS * 2 / 0.8);
+	for (i = 0; i < 12; i++) {
+		now += 10000;
+		sequence += 2;
+		load_two(cache, &seen, now, sequence, TRUE);
+	}
+	now += 10000;
+	sequence += 2;
+	quiet = load_two(cache, &seen, now, sequence, FALSE);
+	assert_in_range(quiet, LOAD_MS, LOAD_MS * 1.1);
+	for (i = 0; i < 4; i++)
+		want(cache, now + 5000, i < 2 ? "m/x" : "m/y");
+	assert_in_range(adapter_cache_load_wait(cache, "m/z"), LOAD_MS,
+			2 * LOAD_MS);
+
+	/* A wave at all engines: what is presumed there is not. */
+	adapter_cache_unwant(cache, "m/x");
+	adapter_cache_unwant(cache, "m/y");
+	for (i = 0; i < 4; i++) {
+		char *name = g_strdup_printf("m/late%d", i);
+
+		now += 10000;
+		want(cache, now, "m/beside");
+		want(cache, now, name);
+		adapter_cache_tick(cache, now, TRUE);
+		adapter_cache_answered(cache, now, CACHE_ANSWER_ACCEPTED);
+		adapter_cache_tick(cache, now, TRUE);
+		adapter_cache_answered(cache, now, CACHE_ANSWER_ACCEPTED);
+		sequence += 2;
+		adapter_cache_tick(cache, now + 2 * LOAD_MS, FALSE);
+		adapter_cache_missing(cache, now + 2 * LOAD_MS, name);
+		report(cache, now + 4 * LOAD_MS, sequence + 2, NULL, 0);
+		g_free(name);
+	}
+	now += 10000;
+	sequence += 2;
+	assert_in_range(load_two(cache, &seen, now, sequence, FALSE),
+			LOAD_MS * 2, LOAD_MS * 2 / 0.8 + 1);
+	destroy(cache, &seen);
+}
+
 /* Two processes' views of one record. */
 typedef struct {
 	holdings_t *holdings;
@@ -499,6 +592,7 @@
 		cmocka_unit_test(test_newer_version),
 		cmocka_unit_test(test_base_model),
 		cmocka_unit_test(test_load_wait),
+		cmocka_unit_test(test_quiet_fleet),
 		cmocka_unit_test(test_new_engine),
 		cmocka_unit_test(test_successor_waits),
 		cmocka_unit_test(test_released),
