member: tell when an engine has room for an adapter again

Its load was told only when its requests doubled or halved; a quiet engine that had been full stayed full for all other instances. Seen in the hung processes: the owner knew 4 slots to be had there, the home at another instance none, for 300 s. Ruled out: lost or reordered news (each instance heard of the endpoint to the last), the hold (it had ended), the home (one instance alone serves after 38 s).

Whether an engine has room for an adapter is news. test-news: the former code tells nothing; now one telling for each change between none and some.

--- a/lib/member/news.h
+++ b/lib/member/news.h
@@ -106,8 +106,8 @@
 			gboolean is_resident, ms_t now);
 /*
  * The load of an endpoint.  It goes out with the next change of the endpoint;
- * by itself only if requests doubled or halved since it was last sent, or if
- * the endpoint began to leave.
+ * by itself only if requests doubled or halved since it was last sent, if the
+ * endpoint began to leave, or if it has or lacks room for an adapter now.
  */
 void news_sender_load(news_sender_t *sender, const char *endpoint,
 		      int64_t epoch, const news_load_t *load, ms_t now);
--- a/lib/member/news_sender.c
+++ b/lib/member/news_sender.c
@@ -18,6 +18,7 @@
 	int64_t epoch;
 	news_load_t load;
 	int sent_requests;
+	gboolean sent_has_room; /* for another adapter */
 	gboolean is_queued;
 	gboolean is_dropped;
 	ms_t queued_at;
@@ -126,13 +127,19 @@
 	queue(sender, held, now);
 }
 
+static gboolean has_room(const news_load_t *load)
+{
+	return load->free_slots + load->victim_slots > 0;
+}
+
 static gboolean is_load_news(const held_t *held, const news_load_t *load)
 {
 	int requests = MAX(load->running + load->waiting, LOAD_FLOOR);
 	int sent = MAX(held->sent_requests, LOAD_FLOOR);
 
 	return load->is_leaving != held->load.is_leaving ||
-	       requests >= 2 * sent || 2 * requests <= sent;
+	       has_room(load) != held->sent_has_room || requests >= 2 * sent ||
+	       2 * requests <= sent;
 }
 
 void news_sender_load(news_sender_t *sender, const char *endpoint,
@@ -254,6 +261,7 @@
 		g_ptr_array_add(message->endpoints, tell(held, held->changed));
 		g_hash_table_remove_all(held->changed);
 		held->sent_requests = held->load.running + held->load.waiting;
+		held->sent_has_room = has_room(&held->load);
 		sender->stats.changes_sent++;
 		sender->stats.delay_sum += delay;
 		sender->stats.delay_max = MAX(sender->stats.delay_max, delay);
--- a/t/unit/test-news.c
+++ b/t/unit/test-news.c
@@ -275,6 +275,34 @@
 	pair_close(&pair);
 }
 
+/* Of an engine that is quiet, whether it has room for another adapter. */
+static void test_room_is_told(void **state)
+{
+	news_load_t load = {0};
+	pair_t pair;
+	int before;
+
+	pair_open(&pair, 1, 0);
+	news_sender_load(pair.sender, "e0", 1, &load, 0);
+	pair_run(&pair, 1000);
+	before = pair.delivered;
+	load.victim_slots = 4;
+	news_sender_load(pair.sender, "e0", 1, &load, pair.now);
+	pair_run(&pair, 1000);
+	assert_int_equal(pair.delivered, before + 1);
+	load.victim_slots = 2;
+	load.free_slots = 1;
+	news_sender_load(pair.sender, "e0", 1, &load, pair.now);
+	pair_run(&pair, 1000);
+	assert_int_equal(pair.delivered, before + 1);
+	load.victim_slots = 0;
+	load.free_slots = 0;
+	news_sender_load(pair.sender, "e0", 1, &load, pair.now);
+	pair_run(&pair, 1000);
+	assert_int_equal(pair.delivered, before + 2);
+	pair_close(&pair);
+}
+
 static void test_scope(void **state)
 {
 	assert_true(news_should_follow("r", "d", "r", "other", 9));
@@ -290,6 +318,7 @@
 		cmocka_unit_test(test_new_stream_resets),
 		cmocka_unit_test(test_rate_is_bounded),
 		cmocka_unit_test(test_load_is_told_when_it_doubles),
+		cmocka_unit_test(test_room_is_told),
 		cmocka_unit_test(test_scope),
 	};
 
