front: pause between readings anew while the store drops its history

Ruled out: a fault of the store's model alone. The platform says that its history may be dropped sooner than stated, and calls are priced, so the client has to pace itself whatever the store does.

Change: a watch that ends within 2 s of its reading is followed by a delay that doubles from 100 to 800 ms; one that lasted is read anew at once, as before. The mirror gets its destroy.

Before: test-mirror counted 450 readings in a second (5 allowed). After: within the bound; a drop after a calm time still costs no delay.

--- a/lib/front/mirror.c
+++ b/lib/front/mirror.c
@@ -19,7 +19,9 @@
 	GHashTable *seen; /* key to seen_t */
 	guint round;
 	int64_t revision;
+	uint64_t watched_since; /* time of the loop, ms */
 	gboolean is_synced;
+	gboolean is_failing; /* the newest reading failed */
 };
 
 static void read_all(uv_timer_t *timer);
@@ -63,6 +65,12 @@
 
 	mirror->watch = NULL;
 	log_info("items read anew", "reason", error->message, NULL);
+	if (uv_now(mirror->timer.loop) - mirror->watched_since <
+	    MIRROR_STEADY_MS) {
+		read_later(mirror);
+		return;
+	}
+	mirror->delay = MIRROR_RETRY_FIRST_MS;
 	uv_timer_start(&mirror->timer, read_all, 0, 0);
 }
 
@@ -98,19 +106,21 @@
 	size_t i;
 
 	if (status != KV_DONE) {
-		if (mirror->delay == MIRROR_RETRY_FIRST_MS)
+		if (!mirror->is_failing)
 			log_warn("items not read; tried again", "error",
 				 error ? error->message : "refused", NULL);
+		mirror->is_failing = TRUE;
 		read_later(mirror);
 		return;
 	}
-	mirror->delay = MIRROR_RETRY_FIRST_MS;
+	mirror->is_failing = FALSE;
 	mirror->round++;
 	for (i = 0; i < count; i++)
 		hand_out(mirror, &items[i]);
 	drop_missing(mirror, revision);
 	mirror->revision = MAX(mirror->revision, revision);
 	mirror->is_synced = TRUE;
+	mirror->watched_since = uv_now(mirror->timer.loop);
 	mirror->watch = kv_watch(mirror->kv, "", revision, on_event,
 				 on_watch_end, mirror);
 	mirror->events.on_synced(mirror->ctx);
@@ -141,6 +151,21 @@
 	return mirror;
 }
 
+static void on_closed(uv_handle_t *handle)
+{
+	mirror_t *mirror = handle->data;
+
+	g_hash_table_destroy(mirror->seen);
+	g_free(mirror);
+}
+
+void mirror_destroy(mirror_t *mirror)
+{
+	if (mirror->watch)
+		kv_watch_cancel(mirror->kv, mirror->watch);
+	uv_close((uv_handle_t *)&mirror->timer, on_closed);
+}
+
 void mirror_take(mirror_t *mirror, const kv_item_t *item)
 {
 	if (mirror->is_synced)
