platform/standin, t: end a stream that is resumed after its last piece

Ruled out: hc-front doubling a piece; the identifier of the extra piece is one that no whole stream has.

--- a/t/t0802-front-faults.sh
+++ b/t/t0802-front-faults.sh
@@ -62,6 +62,16 @@
 wait_for eval 'test "$(code 1 /read/x)" = 200'
 control desk-1 mode=ok
 
+# The model of an engine that is asked for what follows the last piece.
+after_last () {
+	curl -sS --max-time 5 -X POST -H 'Last-Event-Id: 29' \
+		-H 'X-Hawthorncross-Request-Id: after-last' \
+		-w '%{http_code}\n' "http://$(model engine-1)/resume/x"
+}
+expect 'nothing follows the last piece' after_last <<\END
+200
+END
+
 # A stream that breaks: one that may be resumed goes on elsewhere, whole.
 path_of_stream=/resume/
 wait_for is_served
--- a/t/t0805-front-soak.sh
+++ b/t/t0805-front-soak.sh
@@ -15,8 +15,7 @@
 #  - no order broke a rule of the engines;
 #  - everything is served again within the bound after the last fault.
 #
-# A seed that failed is added to the list at the end of this file's header:
-#  (none so far)
+# A seed that failed is played again by t0806, with a line on the cause.
 . "$(dirname "$0")/lib/front.sh"
 
 SEED=${SEED:-1}
