member, serve: ask for an owner's news anew over each new connection

Cause: a process that followed an owner's news asked for them once. If the owner restarted, or the connection broke, and the owner stayed in the view, the former connection took the question with it: the owner's sender knew nobody to tell, so that its reader never saw the gap either. A home traced through it: i1 kept assist-2 at i3 under epoch 4, while i2 had taken it under epoch 5 and told i3 alone.

Load: the state is wrong for good on an idle machine too.

Change: a new connection asks for the whole state (news_reader_connected()). A second way to the same state is closed: news of a higher epoch about an endpoint that is still local were taken note of and lost with the local row.

--- a/lib/entry/entry_messages.c
+++ b/lib/entry/entry_messages.c
@@ -12,7 +12,7 @@
 	entry_t *entry = ctx;
 
 	log_info("owner in reach", "owner", name, NULL);
-	table_follow(entry->table, entry->view, name, entry_now(entry));
+	table_connected(entry->table, entry->view, name, entry_now(entry));
 }
 
 static void on_down(void *ctx, const char *name)
--- a/lib/member/news.h
+++ b/lib/member/news.h
@@ -153,6 +153,14 @@
 
 /* Follow an owner: ask for its state as soon as the rate of asking allows. */
 void news_reader_follow(news_reader_t *reader, const char *owner, ms_t now);
+
+/*
+ * There is a new connection to the owner: follow it, and ask for its state even
+ * if it was whole.  The former connection took the question with it, and the
+ * owner's process may be another one, so that nothing would tell of what is
+ * missing.
+ */
+void news_reader_connected(news_reader_t *reader, const char *owner, ms_t now);
 /* Follow it no more; on_reset is called. */
 void news_reader_unfollow(news_reader_t *reader, const char *owner);
 void news_reader_receive(news_reader_t *reader, const char *owner,
--- a/lib/member/news_reader.c
+++ b/lib/member/news_reader.c
@@ -78,6 +78,16 @@
 	TAILQ_INSERT_HEAD(&reader->asking, source, link);
 }
 
+void news_reader_connected(news_reader_t *reader, const char *owner, ms_t now)
+{
+	source_t *source = g_hash_table_lookup(reader->sources, owner);
+
+	if (source)
+		want_whole(reader, source, now);
+	else
+		news_reader_follow(reader, owner, now);
+}
+
 void news_reader_unfollow(news_reader_t *reader, const char *owner)
 {
 	source_t *source = g_hash_table_lookup(reader->sources, owner);
--- a/lib/owner/owner.c
+++ b/lib/owner/owner.c
@@ -302,8 +302,8 @@
 {
 	owner_t *owner = ctx;
 
-	table_follow(owner->table, membership_view(owner->membership), instance,
-		     owner_now(owner));
+	table_connected(owner->table, membership_view(owner->membership),
+			instance, owner_now(owner));
 }
 
 static void on_down(void *ctx, const char *instance)
--- a/lib/serve/table.c
+++ b/lib/serve/table.c
@@ -78,8 +78,11 @@
 		g_free(row->owner);
 		row->owner = g_strdup(owner);
 	}
-	if (epoch > row->epoch)
+	/* A higher epoch is of another tenure, also where one was local. */
+	if (epoch > row->epoch) {
 		row->sequence = 0;
+		row->is_local = FALSE;
+	}
 	row->epoch = epoch;
 	return row;
 }
@@ -199,18 +202,31 @@
 	return table->placement;
 }
 
+static gboolean should_follow(const table_t *table, const view_t *view,
+			      const char *owner)
+{
+	const view_owner_t *seen = view_find(view, owner);
+
+	return seen &&
+	       news_should_follow(table->region, table->failure_domain,
+				  seen->region, seen->failure_domain,
+				  view_count_region(view, table->region));
+}
+
 void table_follow(table_t *table, const view_t *view, const char *owner,
 		  ms_t now)
 {
-	const view_owner_t *seen = view_find(view, owner);
+	table->now = now;
+	if (should_follow(table, view, owner))
+		news_reader_follow(table->reader, owner, now);
+}
 
+void table_connected(table_t *table, const view_t *view, const char *owner,
+		     ms_t now)
+{
 	table->now = now;
-	if (!seen ||
-	    !news_should_follow(table->region, table->failure_domain,
-				seen->region, seen->failure_domain,
-				view_count_region(view, table->region)))
-		return;
-	news_reader_follow(table->reader, owner, now);
+	if (should_follow(table, view, owner))
+		news_reader_connected(table->reader, owner, now);
 }
 
 void table_unfollow(table_t *table, const char *owner)
--- a/lib/serve/table.h
+++ b/lib/serve/table.h
@@ -40,6 +40,10 @@
 /* Follow an owner of the view, if the rule of news_should_follow() says so. */
 void table_follow(table_t *table, const view_t *view, const char *owner,
 		  ms_t now);
+
+/* The same, over a new connection to the owner: its state is asked for anew. */
+void table_connected(table_t *table, const view_t *view, const char *owner,
+		     ms_t now);
 void table_unfollow(table_t *table, const char *owner);
 void table_receive(table_t *table, const char *owner,
 		   const news_message_t *message, ms_t now);
--- a/t/unit/test-news.c
+++ b/t/unit/test-news.c
@@ -228,6 +228,29 @@
 	pair_close(&pair);
 }
 
+/*
+ * An owner restarts so fast that its reader sees only a new connection.  The
+ * new process knows nobody to tell, so the reader has to ask.
+ */
+static void test_new_connection_asks_anew(void **state)
+{
+	news_options_t options = {.stream = STREAM + 1};
+	pair_t pair;
+
+	pair_open(&pair, 1, 0);
+	news_sender_change(pair.sender, "e0", 1, "a@1", TRUE, 0);
+	pair_run(&pair, 1000);
+	assert_true(g_hash_table_contains(pair.view, "e0 a@1"));
+	news_sender_destroy(pair.sender);
+	pair.sender = news_sender_create(&options, &sender_events, &pair);
+	news_reader_connected(pair.reader, "owner", pair.now);
+	news_sender_change(pair.sender, "e1", 2, "b@1", TRUE, pair.now);
+	pair_run(&pair, 1000);
+	assert_true(g_hash_table_contains(pair.view, "e1 b@1"));
+	assert_false(g_hash_table_contains(pair.view, "e0 a@1"));
+	pair_close(&pair);
+}
+
 /* Changes wait while the rate is used up, and then go out as one. */
 static void test_rate_is_bounded(void **state)
 {
@@ -316,6 +339,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_random_changes),
 		cmocka_unit_test(test_new_stream_resets),
+		cmocka_unit_test(test_new_connection_asks_anew),
 		cmocka_unit_test(test_rate_is_bounded),
 		cmocka_unit_test(test_load_is_told_when_it_doubles),
 		cmocka_unit_test(test_room_is_told),
