standin, t: a proxy of links for the fault soak

Cause: the fault soak injected faults by signals and through the models alone, so that no connection was delayed, silenced, cut one way or reset.

What a cut link to an endpoint held up is lost at its mending: an order that arrives after the holder's successor has ordered is excused by the platform for 300 ms, which the model does not know.

Ruled out: faults inside hc-front or by packet filters: the first would not be from outside, the second needs rights.

Conclusion: links between instances and clients that keep connections are not in it.

--- /dev/null
+++ b/lib/standin/link_proxy.c
@@ -0,0 +1,335 @@
+#include "standin/link_proxy.h"
+
+#include <string.h>
+#include <sys/queue.h>
+
+#include "base/error.h"
+
+#define TICK_MS	     2
+#define READ_BYTES   65536
+#define BACKLOG	     128
+#define HELD_MAX     (4 * 1024 * 1024) /* bytes; a sender beyond has to wait */
+#define END_OF_BYTES 0
+
+static const char *const mode_names[LINK_PROXY_MODE_COUNT] = {
+	[LINK_PROXY_OPEN] = "open",
+	[LINK_PROXY_SILENT] = "silent",
+	[LINK_PROXY_MUTE_TO] = "mute_to",
+	[LINK_PROXY_MUTE_FROM] = "mute_from",
+};
+
+/* Bytes under way; the end of a direction has size END_OF_BYTES. */
+typedef struct piece {
+	TAILQ_ENTRY(piece) link;
+	uv_write_t write;
+	uv_shutdown_t shutdown;
+	ms_t due;
+	size_t size;
+	char data[];
+} piece_t;
+
+TAILQ_HEAD(piece_list, piece);
+
+struct pair;
+
+/* One of the two connections of a pair. */
+typedef struct {
+	uv_tcp_t tcp;
+	struct pair *pair;
+	struct piece_list to_send; /* what the other side has sent */
+	size_t held;
+	gboolean is_paused; /* not read, since the other side holds much */
+} side_t;
+
+enum { CALLER, TARGET, SIDES };
+
+typedef struct pair {
+	TAILQ_ENTRY(pair) link;
+	link_proxy_t *proxy;
+	side_t sides[SIDES];
+	uv_connect_t connect;
+	int open_handles;
+	gboolean is_connected;
+	gboolean is_closing;
+} pair_t;
+
+TAILQ_HEAD(pair_list, pair);
+
+struct link_proxy {
+	uv_loop_t *loop;
+	uv_tcp_t listener;
+	uv_timer_t tick;
+	struct sockaddr_in target;
+	struct pair_list pairs;
+	link_proxy_mode_t mode;
+	ms_t delay;
+	int open_handles;
+};
+
+static void on_pair_closed(uv_handle_t *handle)
+{
+	side_t *side = handle->data;
+	pair_t *pair = side->pair;
+	piece_t *piece;
+
+	while ((piece = TAILQ_FIRST(&side->to_send))) {
+		TAILQ_REMOVE(&side->to_send, piece, link);
+		g_free(piece);
+	}
+	if (--pair->open_handles == 0)
+		g_free(pair);
+}
+
+static void pair_close(pair_t *pair, gboolean is_reset)
+{
+	int i;
+
+	if (pair->is_closing)
+		return;
+	pair->is_closing = TRUE;
+	TAILQ_REMOVE(&pair->proxy->pairs, pair, link);
+	for (i = 0; i < SIDES; i++) {
+		uv_tcp_t *tcp = &pair->sides[i].tcp;
+
+		if (!is_reset || uv_tcp_close_reset(tcp, on_pair_closed) != 0)
+			uv_close((uv_handle_t *)tcp, on_pair_closed);
+	}
+}
+
+static gboolean is_held(const link_proxy_t *proxy, int to)
+{
+	return proxy->mode == LINK_PROXY_SILENT ||
+	       proxy->mode == (to == TARGET ? LINK_PROXY_MUTE_TO
+					    : LINK_PROXY_MUTE_FROM);
+}
+
+static void on_written(uv_write_t *write, int status)
+{
+	g_free(write->data);
+}
+
+static void on_shut(uv_shutdown_t *shutdown, int status)
+{
+	g_free(shutdown->data);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	*buf = uv_buf_init(g_malloc(READ_BYTES), READ_BYTES);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buf);
+
+/* Pass on what is due to one side. */
+static void flush(pair_t *pair, int to, ms_t now)
+{
+	side_t *side = &pair->sides[to];
+	side_t *other = &pair->sides[!to];
+	uv_stream_t *stream = (uv_stream_t *)&side->tcp;
+	piece_t *piece;
+
+	while (!pair->is_closing && (piece = TAILQ_FIRST(&side->to_send)) &&
+	       now >= piece->due) {
+		uv_buf_t buf =
+			uv_buf_init(piece->data, (unsigned int)piece->size);
+		int status;
+
+		TAILQ_REMOVE(&side->to_send, piece, link);
+		side->held -= piece->size;
+		piece->write.data = piece;
+		piece->shutdown.data = piece;
+		if (piece->size == END_OF_BYTES)
+			status = uv_shutdown(&piece->shutdown, stream, on_shut);
+		else
+			status = uv_write(&piece->write, stream, &buf, 1,
+					  on_written);
+		if (status != 0) {
+			g_free(piece);
+			pair_close(pair, TRUE);
+		}
+	}
+	if (!pair->is_closing && other->is_paused && side->held < HELD_MAX) {
+		other->is_paused = FALSE;
+		uv_read_start((uv_stream_t *)&other->tcp, on_alloc, on_read);
+	}
+}
+
+static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buf)
+{
+	side_t *from = stream->data;
+	pair_t *pair = from->pair;
+	int to = from == &pair->sides[CALLER] ? TARGET : CALLER;
+	side_t *side = &pair->sides[to];
+	piece_t *piece;
+
+	if (size == 0 || (size < 0 && size != UV_EOF)) {
+		g_free(buf->base);
+		if (size != 0)
+			pair_close(pair, TRUE);
+		return;
+	}
+	size = MAX(size, END_OF_BYTES);
+	piece = g_malloc0(sizeof(*piece) + (size_t)size);
+	piece->due = (ms_t)uv_now(pair->proxy->loop) + pair->proxy->delay;
+	piece->size = (size_t)size;
+	if (size)
+		memcpy(piece->data, buf->base, (size_t)size);
+	g_free(buf->base);
+	TAILQ_INSERT_TAIL(&side->to_send, piece, link);
+	side->held += piece->size;
+	if (side->held >= HELD_MAX) {
+		from->is_paused = TRUE;
+		uv_read_stop(stream);
+	}
+}
+
+static void on_connected(uv_connect_t *connect, int status)
+{
+	pair_t *pair = connect->data;
+	int i;
+
+	if (pair->is_closing)
+		return;
+	if (status != 0) {
+		pair_close(pair, TRUE);
+		return;
+	}
+	pair->is_connected = TRUE;
+	for (i = 0; i < SIDES; i++)
+		uv_read_start((uv_stream_t *)&pair->sides[i].tcp, on_alloc,
+			      on_read);
+}
+
+static void on_connection(uv_stream_t *listener, int status)
+{
+	link_proxy_t *proxy = listener->data;
+	pair_t *pair;
+	int i;
+
+	if (status != 0)
+		return;
+	pair = g_new0(pair_t, 1);
+	pair->proxy = proxy;
+	pair->open_handles = SIDES;
+	for (i = 0; i < SIDES; i++) {
+		pair->sides[i].pair = pair;
+		TAILQ_INIT(&pair->sides[i].to_send);
+		uv_tcp_init(proxy->loop, &pair->sides[i].tcp);
+		pair->sides[i].tcp.data = &pair->sides[i];
+	}
+	TAILQ_INSERT_TAIL(&proxy->pairs, pair, link);
+	pair->connect.data = pair;
+	if (uv_accept(listener, (uv_stream_t *)&pair->sides[CALLER].tcp) != 0 ||
+	    uv_tcp_connect(&pair->connect, &pair->sides[TARGET].tcp,
+			   (const struct sockaddr *)&proxy->target,
+			   on_connected) != 0)
+		pair_close(pair, TRUE);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	link_proxy_t *proxy = timer->data;
+	ms_t now = (ms_t)uv_now(proxy->loop);
+	pair_t *pair;
+	pair_t *next;
+	int to;
+
+	for (pair = TAILQ_FIRST(&proxy->pairs); pair; pair = next) {
+		next = TAILQ_NEXT(pair, link);
+		for (to = 0; to < SIDES && pair->is_connected; to++) {
+			if (!is_held(proxy, to))
+				flush(pair, to, now);
+			if (pair->is_closing)
+				break;
+		}
+	}
+}
+
+static gboolean listen_on_any_port(link_proxy_t *proxy, GError **error)
+{
+	struct sockaddr_in any;
+	int status;
+
+	uv_ip4_addr("127.0.0.1", 0, &any);
+	status =
+		uv_tcp_bind(&proxy->listener, (const struct sockaddr *)&any, 0);
+	if (status == 0)
+		status = uv_listen((uv_stream_t *)&proxy->listener, BACKLOG,
+				   on_connection);
+	if (status != 0)
+		error_set(error, ERROR_UNAVAILABLE,
+			  "can't listen on 127.0.0.1: %s; free a port",
+			  uv_strerror(status));
+	return status == 0;
+}
+
+link_proxy_t *link_proxy_create(uv_loop_t *loop, const char *address, int port,
+				GError **error)
+{
+	link_proxy_t *proxy = g_new0(link_proxy_t, 1);
+
+	proxy->loop = loop;
+	proxy->open_handles = 2;
+	TAILQ_INIT(&proxy->pairs);
+	uv_tcp_init(loop, &proxy->listener);
+	uv_timer_init(loop, &proxy->tick);
+	proxy->listener.data = proxy;
+	proxy->tick.data = proxy;
+	if (uv_ip4_addr(address, port, &proxy->target) != 0)
+		error_set(error, ERROR_INVALID,
+			  "'%s' is no IPv4 address; give HOST:PORT in numbers",
+			  address);
+	else if (listen_on_any_port(proxy, error) &&
+		 uv_timer_start(&proxy->tick, on_tick, TICK_MS, TICK_MS) == 0)
+		return proxy;
+	link_proxy_destroy(proxy);
+	return NULL;
+}
+
+static void on_proxy_closed(uv_handle_t *handle)
+{
+	link_proxy_t *proxy = handle->data;
+
+	if (--proxy->open_handles == 0)
+		g_free(proxy);
+}
+
+void link_proxy_destroy(link_proxy_t *proxy)
+{
+	link_proxy_reset(proxy);
+	uv_close((uv_handle_t *)&proxy->listener, on_proxy_closed);
+	uv_close((uv_handle_t *)&proxy->tick, on_proxy_closed);
+}
+
+int link_proxy_port(const link_proxy_t *proxy)
+{
+	struct sockaddr_in bound;
+	int size = sizeof(bound);
+
+	uv_tcp_getsockname(&proxy->listener, (struct sockaddr *)&bound, &size);
+	return g_ntohs(bound.sin_port);
+}
+
+gboolean link_proxy_set_mode(link_proxy_t *proxy, const char *name)
+{
+	int i;
+
+	for (i = 0; i < LINK_PROXY_MODE_COUNT; i++) {
+		if (!strcmp(name, mode_names[i])) {
+			proxy->mode = (link_proxy_mode_t)i;
+			return TRUE;
+		}
+	}
+	return FALSE;
+}
+
+void link_proxy_set_delay(link_proxy_t *proxy, ms_t delay)
+{
+	proxy->delay = delay;
+}
+
+void link_proxy_reset(link_proxy_t *proxy)
+{
+	while (!TAILQ_EMPTY(&proxy->pairs))
+		pair_close(TAILQ_FIRST(&proxy->pairs), TRUE);
+}
--- a/t/lib/front.sh
+++ b/t/lib/front.sh
@@ -10,6 +10,9 @@
 #	ask N PATH [CURL-OPTION...]	a request through instance N
 #	adapter N NAME [OPTION...]	a stream of an adapter through instance N
 #	control ID QUERY		set a fault of a model ('store' or an id)
+#	start_links			a standin-proxy before the store, one for each
+#					of $instances, and before each endpoint
+#	link NAME QUERY			set a fault of a link (store1, engine-1 ...)
 #	ledger ID			what ran there
 #	total FIELD ID...		the sum of a field of ledgers
 
@@ -37,6 +40,47 @@
 	sed -n "s/$pattern/\\1/p" "$work/platform.out"
 }
 
+endpoints='engine-1 engine-2 desk-1 desk-2'
+
+# The address of a link that the proxy printed.
+link_address () {
+	sed -n "s/^listening $1 \\(127.*\\)\$/\\1/p" "$work/links.out"
+}
+
+start_links () {
+	set --
+	for n in $instances
+	do
+		set -- "$@" "store$n=$(model store)"
+	done
+	for endpoint in $endpoints
+	do
+		set -- "$@" "$endpoint=$(model "$endpoint")"
+	done
+	start_many $(($# + 1)) links standin-proxy "$@"
+	for endpoint in $endpoints
+	do
+		control "$endpoint" \
+			"state=ready&listed=$(link_address "$endpoint")"
+	done
+}
+
+link () {
+	curl -sS -X POST -o /dev/null \
+		"http://$(sed -n 's/^listening \(127.*\)$/\1/p' \
+			"$work/links.out")/control?link=$1&$2"
+}
+
+# Where instance N finds the store.
+store_of () {
+	if test -f "$work/links.out"
+	then
+		link_address "store$1"
+	else
+		model store
+	fi
+}
+
 put_item () {
 	curl -sS -X PUT "http://$(model store)/control?key=$1" \
 		--data-binary @- -o /dev/null
@@ -84,7 +128,7 @@
 		"callers_listen": "$(ip "$1"):8000",
 		"ready_listen": "$(ip "$1"):8001",
 		"owner_port": 8002,
-		"key_value_service": ["$(model store)"],
+		"key_value_service": ["$(store_of "$1")"],
 		"grace_s": 6,
 		"order_gap_ms": 300,
 		"lease_ttl_ms": 1000,
--- a/t/t0805-front-soak.sh
+++ b/t/t0805-front-soak.sh
@@ -5,8 +5,9 @@
 #
 # Instances are killed, frozen, stopped and started; endpoints fail, refuse, cut
 # their answers, restart and leave; the store is away, silent, forgets its history
-# and loses answers; orders are late; the configuration changes.  Events overlap.
-# Clients go on all the while.  Checked at the end, by what clients and endpoints
+# and loses answers; orders are late; the configuration changes.  Links from single
+# instances to the store, and to each endpoint, are delayed, silenced, cut one way
+# and reset.  Events overlap.  Clients go on all the while.  Checked at the end, by what clients and endpoints
 # saw:
 #
 #  - no request that may not be repeated ran twice;
@@ -24,6 +25,7 @@
 RECOVERY_SECONDS=12
 CLIENTS=4
 INSTANCES=3
+instances='1 2 3'
 
 # Numbers that depend on the seed alone.
 random_state=$SEED
@@ -32,7 +34,18 @@
 	random_value=$((random_state / 65536 % $1))
 }
 
+# The same with a state of its own, so that the faults of links change no other.
+link_state=$SEED
+link_random () {
+	other_state=$random_state
+	random_state=$link_state
+	random "$1"
+	link_state=$random_state
+	random_state=$other_state
+}
+
 start_models --events 12 --event-ms 15
+start_links
 write_config 1
 for n in 1 2 3
 do
@@ -134,6 +147,33 @@
 	15) version=$((version + 1)) && write_config "$version" ;;
 	esac
 }
+pick_link () {
+	link_random 7
+	set -- store1 store2 store3 $endpoints
+	shift "$random_value"
+	link=$1
+}
+link_event () {
+	pick_link
+	link_random 10
+	echo "$(date +%s) link event $random_value $link" >>"$work/events"
+	case $random_value in
+	0) link "$link" delay_ms=200 ;;
+	1) link "$link" mode=silent ;;
+	2) link "$link" mode=mute_to ;;
+	3) link "$link" mode=mute_from ;;
+	4) link "$link" reset=1 ;;
+	esac
+}
+# A held-up order would arrive after its holder's successor has ordered, which the
+# platform excuses for 300 ms and the model doesn't; so what a cut link to an endpoint
+# held up is lost.  Orders that are late by themselves are an event of their own.
+mend_link () {
+	case $1 in
+	store*) link "$1" 'mode=open&delay_ms=0' ;;
+	*) link "$1" 'mode=open&delay_ms=0&reset=1' ;;
+	esac
+}
 # What was begun ends a little later, in some order.
 mend () {
 	random 4
@@ -149,15 +189,22 @@
 while test "$(date +%s)" -lt "$end"
 do
 	event
+	link_event
 	sleep 0.3
 	mend
+	pick_link
+	mend_link "$link"
 	sleep 0.2
 	mend
 done
 
 # All faults end; then everything has to be served again.
 control store mode=up
-for endpoint in engine-1 engine-2 desk-1 desk-2
+for link in store1 store2 store3 $endpoints
+do
+	mend_link "$link"
+done
+for endpoint in $endpoints
 do
 	control "$endpoint" mode=ok
 	control "$endpoint" state=ready
