base: one copy of the milliseconds of a second

Ruled out: integer division where a double was meant; each division by it has a double on its left.

Change: base/clock.h has it. lib/front/mirror.h is formatted.

--- a/lib/base/clock.c
+++ b/lib/base/clock.c
@@ -4,7 +4,6 @@
 #include <time.h>
 
 #define US_PER_MS 1000
-#define MS_PER_S  1000
 #define NS_PER_MS 1000000
 
 struct ms_clock {
--- a/lib/base/clock.h
+++ b/lib/base/clock.h
@@ -17,6 +17,8 @@
 /* A point in time or a duration, in milliseconds. */
 typedef int64_t ms_t;
 
+#define MS_PER_S 1000
+
 /* Later than any point in time that a clock reports. */
 #define MS_NEVER INT64_MAX
 
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -10,8 +10,6 @@
 #include "base/clock.h"
 #include "base/counter.h"
 
-#define MS_PER_S 1000
-
 /* Lines of one event in the present second. */
 typedef struct {
 	int64_t second;
--- a/lib/bench/bound.c
+++ b/lib/bench/bound.c
@@ -3,7 +3,6 @@
 #include "bench/sim.h"
 
 #define MS_PER_1000S  1000000.0
-#define MS_PER_SECOND 1000.0
 #define US_PER_MS     1000.0
 #define FAILED_ONE_IN 10
 #define SETTLE_MS     120000
@@ -475,7 +474,7 @@
 		sim_at(bound.sim, trace->end / 2, restart_event, &bound, NULL);
 	sim_run(bound.sim, trace->end + SETTLE_MS);
 	bound.result->seconds =
-		(double)(trace->end - trace->warm_up) / MS_PER_SECOND;
+		(double)(trace->end - trace->warm_up) / MS_PER_S;
 	for (i = 0; i < bound.adapter_count; i++) {
 		g_array_free(bound.adapters[i].uses, TRUE);
 		g_queue_clear_full(&bound.adapters[i].waiting, g_free);
--- a/lib/bench/cluster.c
+++ b/lib/bench/cluster.c
@@ -4,8 +4,6 @@
 
 #include "bench/cluster_state.h"
 
-#define MS_PER_SECOND 1000.0
-
 /* Wait before an unreachable endpoint is tried again. */
 #define UNREACHABLE_MS 100
 
@@ -223,7 +221,7 @@
 		home.pending_time = 0;
 	instance->home = home_create(&home, instance->table, &actions, instance,
 				     cluster->rand);
-	sim_at(cluster->sim, MS_PER_SECOND, home_event, instance, NULL);
+	sim_at(cluster->sim, MS_PER_S, home_event, instance, NULL);
 }
 
 static void make_endpoint(cluster_t *cluster, int index)
@@ -271,8 +269,7 @@
 						  NULL, g_free);
 	cluster->next_id = 1;
 	cluster->broker_due = MS_NEVER;
-	broker_config_init(&broker,
-			   (double)profile->loads_per_1000s / MS_PER_SECOND,
+	broker_config_init(&broker, (double)profile->loads_per_1000s / MS_PER_S,
 			   (int)profile->transit_limit);
 	broker.fifo = cluster->policy->granting == GRANT_FIFO;
 	cluster->broker =
@@ -336,7 +333,7 @@
 	cluster_schedule_faults(&cluster);
 	sim_run(cluster.sim, trace->end + SETTLE_MS);
 	cluster.result->seconds =
-		(double)(trace->end - trace->warm_up) / MS_PER_SECOND;
+		(double)(trace->end - trace->warm_up) / MS_PER_S;
 	teardown(&cluster);
 	return cluster.result;
 }
--- a/lib/bench/result.c
+++ b/lib/bench/result.c
@@ -2,7 +2,7 @@
 
 #include <stddef.h>
 
-#define MS_PER_SECOND 1000.0
+#include "base/clock.h"
 
 #define FIELD(field, unit_name)                                                \
 	{                                                                      \
@@ -163,7 +163,7 @@
 		.stall_p50 = quantile(result->stalls, 0.5),
 		.stall_p95 = quantile(result->stalls, 0.95),
 		.stall_p99 = quantile(result->stalls, 0.99),
-		.stall_sum = sum(result->stalls) / MS_PER_SECOND,
+		.stall_sum = sum(result->stalls) / MS_PER_S,
 		.batch = ratio(result->filled,
 			       result->steps * (double)profile->places),
 		.batch_waiting =
@@ -181,12 +181,12 @@
 		.urgent_p95 = quantile(
 			result->priority_stalls[RESULT_PRIORITIES - 1], 0.95),
 		.useful = ratio(result->answered, capacity),
-		.miss_first = result->miss_ms[MISS_FIRST] / MS_PER_SECOND,
-		.miss_again = result->miss_ms[MISS_AGAIN] / MS_PER_SECOND,
-		.miss_copy = result->miss_ms[MISS_COPY] / MS_PER_SECOND,
-		.wait_pause = result->wait_ms[WAIT_PAUSE] / MS_PER_SECOND,
-		.wait_grant = result->wait_ms[WAIT_GRANT] / MS_PER_SECOND,
-		.wait_load = result->wait_ms[WAIT_LOAD] / MS_PER_SECOND,
-		.wait_place = result->wait_ms[WAIT_PLACE] / MS_PER_SECOND,
+		.miss_first = result->miss_ms[MISS_FIRST] / MS_PER_S,
+		.miss_again = result->miss_ms[MISS_AGAIN] / MS_PER_S,
+		.miss_copy = result->miss_ms[MISS_COPY] / MS_PER_S,
+		.wait_pause = result->wait_ms[WAIT_PAUSE] / MS_PER_S,
+		.wait_grant = result->wait_ms[WAIT_GRANT] / MS_PER_S,
+		.wait_load = result->wait_ms[WAIT_LOAD] / MS_PER_S,
+		.wait_place = result->wait_ms[WAIT_PLACE] / MS_PER_S,
 	};
 }
--- a/lib/bench/trace.c
+++ b/lib/bench/trace.c
@@ -2,8 +2,7 @@
 
 #include <math.h>
 
-#define MS_PER_SECOND 1000.0
-#define PER_THOUSAND  1000.0
+#define PER_THOUSAND 1000.0
 
 #define RUSH_FACTOR	2.0
 #define OVERLOAD_FACTOR 1.5
@@ -165,12 +164,12 @@
 	double round_length =
 		(double)(profile->round_min + profile->round_max) / 2;
 	double rounds_per_ms = (double)profile->requests_per_1000s /
-			       PER_THOUSAND / MS_PER_SECOND / round_length;
+			       PER_THOUSAND / MS_PER_S / round_length;
 	trace_t *trace = g_new0(trace_t, 1);
 	ms_t now = 0;
 
 	trace->rounds = g_array_new(FALSE, FALSE, sizeof(round_t));
-	trace->end = (ms_t)((double)profile->seconds * MS_PER_SECOND);
+	trace->end = (ms_t)((double)profile->seconds * MS_PER_S);
 	trace->warm_up = (ms_t)((double)trace->end * WARM_UP_SHARE);
 	generator.trace = trace;
 	make_zipf(&generator);
--- a/lib/ctl/ctl_print.c
+++ b/lib/ctl/ctl_print.c
@@ -2,7 +2,7 @@
 
 #include <stdio.h>
 
-#define MS_PER_SECOND 1000
+#include "base/clock.h"
 
 static const char *text_of(JsonObject *object, const char *name)
 {
@@ -96,8 +96,8 @@
 
 static void print_generation(JsonObject *item)
 {
-	GDateTime *time = g_date_time_new_from_unix_utc(int_of(item, "time") /
-							MS_PER_SECOND);
+	GDateTime *time =
+		g_date_time_new_from_unix_utc(int_of(item, "time") / MS_PER_S);
 	char *when = time ? g_date_time_format(time, "%Y-%m-%dT%H:%M:%SZ")
 			  : g_strdup("-");
 
--- a/lib/entry/claiming.c
+++ b/lib/entry/claiming.c
@@ -12,8 +12,6 @@
 /* The least time between two transactions of one instance. */
 #define COMMIT_INTERVAL_MIN_MS 50
 
-#define MS_PER_SECOND 1000
-
 /* One claim that was begun. */
 typedef struct {
 	claiming_t *claiming;
@@ -208,7 +206,7 @@
 
 void claiming_set_members(claiming_t *claiming, unsigned int members)
 {
-	ms_t share = (ms_t)members * MS_PER_SECOND / FLEET_COMMITS_PER_SECOND;
+	ms_t share = (ms_t)members * MS_PER_S / FLEET_COMMITS_PER_SECOND;
 
 	claims_set_commit_interval(claiming->claims,
 				   MAX(COMMIT_INTERVAL_MIN_MS, share));
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -17,8 +17,6 @@
 /* Left of the grace time when the process ends by itself; chosen. */
 #define GRACE_MARGIN_MS 300
 
-#define MS_PER_S 1000
-
 /* How often the planned stop looks whether it is done; chosen. */
 #define STOP_CHECK_MS 50
 
--- a/lib/front/mirror.h
+++ b/lib/front/mirror.h
@@ -16,8 +16,8 @@
 #include "kv/kv.h"
 
 /*
- * Delays after a failed read and after a watch that ended too soon, doubled each
- * time, with jitter; chosen so that news stays below the platform's 2 s.
+ * Delays after a failed read and after a watch that ended too soon, doubled
+ * each time, with jitter; chosen so that news stays below the platform's 2 s.
  */
 #define MIRROR_RETRY_FIRST_MS 100
 #define MIRROR_RETRY_MAX_MS   800
@@ -37,7 +37,8 @@
 mirror_t *mirror_create(kv_t *kv, uv_loop_t *loop, GRand *rand,
 			const mirror_events_t *events, void *ctx);
 
-/* While no reading is under way; it is gone once the loop has closed its timer. */
+/* While no reading is under way; it is gone once the loop has closed its timer.
+ */
 void mirror_destroy(mirror_t *mirror);
 
 gboolean mirror_is_synced(const mirror_t *mirror);
--- a/lib/http/http_server_errors.c
+++ b/lib/http/http_server_errors.c
@@ -13,8 +13,6 @@
 /* Bytes of a request's line and headers. */
 #define HEAD_MAX (32 * 1024)
 
-#define MS_PER_SECOND 1000
-
 typedef struct {
 	h2o_filter_t super;
 	http_server_t *server;
@@ -52,7 +50,7 @@
 
 	if (retry_after > 0) {
 		g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT,
-			   (retry_after + MS_PER_SECOND - 1) / MS_PER_SECOND);
+			   (retry_after + MS_PER_S - 1) / MS_PER_S);
 		headers[0].name = "retry-after";
 		headers[0].value = seconds;
 	}
--- a/lib/kv/etcd_json.c
+++ b/lib/kv/etcd_json.c
@@ -4,8 +4,6 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
-#define MS_PER_SECOND 1000
-
 static void append_base64(GString *text, const char *name, const char *data,
 			  size_t size)
 {
@@ -99,7 +97,7 @@
 char *etcd_render_lease_grant(ms_t ttl)
 {
 	return g_strdup_printf("{\"TTL\":\"%" G_GINT64_FORMAT "\"}",
-			       (ttl + MS_PER_SECOND - 1) / MS_PER_SECOND);
+			       (ttl + MS_PER_S - 1) / MS_PER_S);
 }
 
 char *etcd_render_lease(int64_t lease)
--- a/lib/load/plan.c
+++ b/lib/load/plan.c
@@ -2,7 +2,7 @@
 
 #include <math.h>
 
-#define MS_PER_S 1000.0
+#include "base/clock.h"
 
 struct plan {
 	const plan_options_t *options;
--- a/lib/load/runner.c
+++ b/lib/load/runner.c
@@ -10,7 +10,6 @@
 #define PATH	       "/v1/completions"
 #define SERVICE_PATH   "%sorders"
 #define US_PER_MS      1000
-#define MS_PER_S       1000
 #define TICK_MS	       1
 #define RETRY_PAUSE_MS 50
 
--- a/lib/owner/link.c
+++ b/lib/owner/link.c
@@ -20,7 +20,6 @@
 #define HTTP_NOT_FOUND		404
 #define HTTP_TOO_MANY_REQUESTS	429
 #define HTTP_SERVER_ERROR_FIRST 500
-#define MS_PER_SECOND		1000
 
 struct link_run {
 	TAILQ_ENTRY(link_run) link_entry;
@@ -158,7 +157,7 @@
 	for (; headers->name; headers++) {
 		if (!strcmp(headers->name, "retry-after"))
 			run->retry_after =
-				(ms_t)atoi(headers->value) * MS_PER_SECOND;
+				(ms_t)atoi(headers->value) * MS_PER_S;
 		else if (!strcmp(headers->name, "content-type"))
 			run->content_type = g_strdup(headers->value);
 	}
--- a/lib/owner/membership.c
+++ b/lib/owner/membership.c
@@ -15,8 +15,6 @@
 /* How often they are read beside that, to find a lost part of the fleet. */
 #define RECORDS_PERIOD_MS 60000
 
-#define MS_PER_SECOND 1000
-
 struct membership {
 	process_t *process;
 	kv_t *kv;
@@ -283,7 +281,7 @@
 	membership->place.failure_domain = settings->failure_domain;
 	options.name = settings->instance;
 	options.place = &membership->place;
-	options.incarnation = ms_clock_wall() / MS_PER_SECOND;
+	options.incarnation = ms_clock_wall() / MS_PER_S;
 	options.seed = g_rand_int(process_rand(membership->process));
 	view_set(membership->view, &self);
 	membership->member = member_create(&options, &events, membership,
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -10,8 +10,6 @@
 /* Share of the places that the lowest priority leaves to higher ones. */
 #define RESERVE_PERCENT 20
 
-#define MS_PER_S 1000.0
-
 /* The rate at which places come free, and who was told to expect one. */
 typedef struct {
 	double rate; /* places a millisecond */
--- a/lib/sched/broker.c
+++ b/lib/sched/broker.c
@@ -4,8 +4,6 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#define MS_PER_SECOND 1000.0
-
 #define DEFAULT_TRANSIT_MS 10000
 #define DEFAULT_WANT_LIMIT 65536
 
@@ -184,7 +182,7 @@
 
 	if (transit) {
 		transit_remove(broker, transit);
-		broker->next_grant -= MS_PER_SECOND / broker->config.rate;
+		broker->next_grant -= MS_PER_S / broker->config.rate;
 		broker->next_grant = MAX(broker->next_grant, (double)now);
 	}
 	g_free(key);
@@ -283,7 +281,7 @@
 	broker->granted++;
 	/* An idle store does not save up grants for a burst. */
 	broker->next_grant = MAX(broker->next_grant, (double)now) +
-			     MS_PER_SECOND / broker->config.rate;
+			     MS_PER_S / broker->config.rate;
 	broker->actions.grant(broker->ctx, endpoint, adapter);
 	g_free(endpoint);
 	g_free(adapter);
--- a/lib/sched/popularity.c
+++ b/lib/sched/popularity.c
@@ -2,8 +2,6 @@
 
 #include <math.h>
 
-#define MS_PER_SECOND 1000.0
-
 typedef struct {
 	char *name;
 	double weight; /* decayed count at the time of update */
@@ -110,7 +108,7 @@
 	if (!record)
 		return 0;
 	/* At a steady rate r the count settles at r * half_life / ln 2. */
-	return decayed(popularity, record, now) * M_LN2 * MS_PER_SECOND /
+	return decayed(popularity, record, now) * M_LN2 * MS_PER_S /
 	       popularity->half_life;
 }
 
--- a/lib/sched/slots_load.c
+++ b/lib/sched/slots_load.c
@@ -4,8 +4,6 @@
 
 #include "sched/slots_state.h"
 
-#define MS_PER_SECOND 1000.0
-
 /* Failed loads in a row after which waiting requests are refused. */
 #define LOAD_TRIES 3
 
@@ -85,7 +83,7 @@
 	if (adapter->demoted > now)
 		return 0;
 	if (slots->config.recency)
-		return MS_PER_SECOND / (double)(now - adapter->used + 1);
+		return MS_PER_S / (double)(now - adapter->used + 1);
 	return popularity_rate(slots->recent, now, adapter->name) +
 	       popularity_rate(slots->popularity, now, adapter->name);
 }
--- a/lib/standin/kv_gateway.c
+++ b/lib/standin/kv_gateway.c
@@ -5,7 +5,6 @@
 #include "base/json_member.h"
 #include "kv/etcd_json.h"
 
-#define MS_PER_SECOND  1000
 #define OPERATIONS_MAX 128
 
 /* gRPC codes. */
@@ -254,18 +253,17 @@
 	g_string_append_printf(text,
 			       ",\"ID\":\"%" G_GINT64_FORMAT
 			       "\",\"TTL\":\"%" G_GINT64_FORMAT "\"}",
-			       lease, ttl / MS_PER_SECOND);
+			       lease, ttl / MS_PER_S);
 }
 
 static void apply_lease(kv_store_t *store, const char *path, JsonObject *object,
 			ms_t now, gateway_answer_t *answer)
 {
 	int64_t lease = etcd_member_int(object, "ID");
-	ms_t ttl = etcd_member_int(object, "TTL") * MS_PER_SECOND;
+	ms_t ttl = etcd_member_int(object, "TTL") * MS_PER_S;
 
 	if (g_str_has_suffix(path, "/grant")) {
-		lease = kv_store_lease_grant(store, MAX(ttl, MS_PER_SECOND),
-					     now);
+		lease = kv_store_lease_grant(store, MAX(ttl, MS_PER_S), now);
 		append_lease(answer->body, store, lease, ttl);
 	} else if (g_str_has_suffix(path, "/keepalive")) {
 		ttl = kv_store_lease_renew(store, lease, now);
--- a/lib/standin/store_model.c
+++ b/lib/standin/store_model.c
@@ -2,8 +2,6 @@
 
 #include <glib.h>
 
-#define MS_PER_SECOND 1000.0
-
 struct store_model {
 	double spacing; /* ms between the beginnings of two loads */
 	double next_begin;
@@ -17,7 +15,7 @@
 {
 	store_model_t *store = g_new0(store_model_t, 1);
 
-	store->spacing = MS_PER_SECOND / loads_per_second;
+	store->spacing = MS_PER_S / loads_per_second;
 	store->transit_limit = transit_limit;
 	store->load_ms = load_ms;
 	return store;
--- a/tools/bench-request.c
+++ b/tools/bench-request.c
@@ -32,7 +32,6 @@
 #define DEADLINE_MS   3000
 #define BREAK_PERCENT 5
 #define CALLERS	      20
-#define MS_PER_S      1000.0
 
 /* The pool's capacity in requests a millisecond. */
 #define CAPACITY (RUNNING_MAX / ((RUN_MIN_MS + RUN_MAX_MS) / 2.0))
--- a/tools/hc-load.c
+++ b/tools/hc-load.c
@@ -17,7 +17,6 @@
 #define EXIT_WRONG 1
 #define EXIT_USAGE 2
 
-#define MS_PER_S    1000
 #define ENTRIES_MAX 64
 #define COUNT_MAX   1000000
 
