route, hold, front: long prompts on engines kept for them

Cause: an engine reads prompts between the tokens of its streams, so that one prompt of 7,000 tokens pauses all of them for 250 ms or more, and each is late.

Ruled out: many short prompts at once (hold/gate spreads them); the gate's share alone: a single prompt is enough.

Change: of 6 engines or more, one in 20 (rounded up, by a hash of its own) reads the prompts whose reading takes above 0.6 of the pause that the route states; others go there only when the rest is loaded above 0.6 of its places. A request that an engine says it has not run gives its reading back to the gate, or the same prompt would pay twice there. Routes carry the pause that the configuration states.

Tests: test-route (three loads), test-gate, test-platform.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -129,7 +129,7 @@
 void adapters_note_silent(adapters_t *adapters, ask_id_t ask);
 
 /* The request has ended, or is not to be sent after all. */
-void adapters_done(adapters_t *adapters, ask_id_t ask);
+void adapters_done(adapters_t *adapters, ask_id_t ask, gboolean has_run);
 
 /* Bring an adapter there; no answer follows. */
 void adapters_want(adapters_t *adapters, const char *engine,
--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -246,11 +246,15 @@
 	return FALSE;
 }
 
-static void ask_free(held_engine_t *held, held_ask_t *ask, ms_t now)
+/* The asker is gone, or the engine; nobody tells. */
+#define MAY_HAVE_RUN TRUE
+
+static void ask_free(held_engine_t *held, held_ask_t *ask, ms_t now,
+		     gboolean has_run)
 {
 	TAILQ_REMOVE(&held->asks, ask, link);
 	if (ask->ticket) {
-		gate_done(held->gate, now, ask->ticket);
+		gate_done(held->gate, now, ask->ticket, has_run);
 		if (ask->adapter)
 			adapter_cache_release(held->cache, now, ask->adapter);
 	} else if (held->cache && ask->adapter && !is_shared(held, ask)) {
@@ -275,7 +279,7 @@
 
 	counter_add(held->adapters->refused, 1);
 	adapters_answer(held->adapters, ask->asker, &news);
-	ask_free(held, ask, now);
+	ask_free(held, ask, now, MAY_HAVE_RUN);
 }
 
 /* FALSE if it was refused. */
@@ -339,7 +343,7 @@
 		if (!ask->ticket || ticket_is_waiting(ask->ticket))
 			ask_refuse(held, ask, now, REFUSAL_NOT_HELD, 0);
 		else
-			ask_free(held, ask, now);
+			ask_free(held, ask, now, MAY_HAVE_RUN);
 	}
 	g_clear_pointer(&held->cache, adapter_cache_destroy);
 	g_clear_pointer(&held->gate, gate_destroy);
@@ -495,14 +499,15 @@
 		adapters_answer(adapters, asker, &news);
 }
 
-void held_engine_done(held_engine_t *held, conn_t *asker, ask_id_t id)
+void held_engine_done(held_engine_t *held, conn_t *asker, ask_id_t id,
+		      gboolean has_run)
 {
 	held_ask_t *ask;
 
 	TAILQ_FOREACH (ask, &held->asks, link) {
 		if (ask->asker != asker || ask->id != id)
 			continue;
-		ask_free(held, ask, now_of(held->adapters));
+		ask_free(held, ask, now_of(held->adapters), has_run);
 		return;
 	}
 }
@@ -518,7 +523,7 @@
 	for (ask = TAILQ_FIRST(&held->asks); ask; ask = next) {
 		next = TAILQ_NEXT(ask, link);
 		if (ask->asker == asker)
-			ask_free(held, ask, now);
+			ask_free(held, ask, now, MAY_HAVE_RUN);
 	}
 	g_hash_table_iter_init(&iter, held->users);
 	while (g_hash_table_iter_next(&iter, NULL, &users))
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -167,13 +167,14 @@
 {
 	char *engine = codec_read_text(reader, NAME_MAX_BYTES);
 	ask_id_t id = codec_read_int(reader, 1, INT64_MAX);
+	gboolean has_run = codec_read_bool(reader);
 	held_engine_t *held =
 		engine ? g_hash_table_lookup(adapters->held, engine) : NULL;
 
 	if (!codec_read_end(reader))
 		log_unreadable(conn_peer_instance(conn));
 	else if (held)
-		held_engine_done(held, conn, id);
+		held_engine_done(held, conn, id, has_run);
 	g_free(engine);
 }
 
@@ -453,7 +454,7 @@
 			    g_memdup2(&now, sizeof(now)));
 }
 
-void adapters_done(adapters_t *adapters, ask_id_t id)
+void adapters_done(adapters_t *adapters, ask_id_t id, gboolean has_run)
 {
 	asked_t *asked = g_hash_table_lookup(adapters->asked, &id);
 	held_engine_t *held;
@@ -464,11 +465,12 @@
 	held = g_hash_table_lookup(adapters->held, asked->engine);
 	if (!asked->holder) {
 		if (held)
-			held_engine_done(held, NULL, id);
+			held_engine_done(held, NULL, id, has_run);
 	} else if (peers_is_up(adapters->peers, asked->holder)) {
-		codec_write_init(&writer, MESSAGE_DONE, 2);
+		codec_write_init(&writer, MESSAGE_DONE, 3);
 		codec_write_text(&writer, asked->engine);
 		codec_write_int(&writer, id);
+		codec_write_bool(&writer, has_run);
 		peers_send(adapters->peers, asked->holder, &writer);
 	}
 	forget_asked(adapters, id);
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -111,7 +111,8 @@
 void held_engine_tick(held_engine_t *held, ms_t now);
 void held_engine_ask(held_engine_t *held, conn_t *asker, ask_id_t id,
 		     const ask_t *ask);
-void held_engine_done(held_engine_t *held, conn_t *asker, ask_id_t id);
+void held_engine_done(held_engine_t *held, conn_t *asker, ask_id_t id,
+		      gboolean has_run);
 void held_engine_want(held_engine_t *held, const char *adapter,
 		      int64_t version);
 /* The connection of an asker is gone. */
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -49,6 +49,20 @@
  */
 #define FIRST_WAIT_MS 150
 
+/*
+ * Part of the pause that a stream may have above which a prompt counts as long;
+ * the rest is for the tokens of one event and for what grows with the square of
+ * the prompt: of 250 ms 35 and up to 40 ms (on the users' sheets).
+ */
+#define LONG_PAUSE_PART 0.6
+
+/*
+ * Part of the goal in which a long prompt waits at the engine kept for them,
+ * where one is read after the other; chosen: the other part is for its own
+ * reading.
+ */
+#define LONG_WAIT_PART 2
+
 /* The last engine that is asked: callers leave after four times the goal. */
 #define LAST_WAIT_GOALS 2
 
@@ -96,7 +110,9 @@
 		.is_resumable = forward->last_event != NULL,
 	};
 
-	if (outcome != OUTCOME_NOT_RUN)
+	if (outcome == OUTCOME_NOT_RUN)
+		forward->is_not_run = TRUE;
+	else
 		forward->may_have_run = TRUE;
 	if (kind != ERROR_CONFLICT)
 		g_ptr_array_add(forward->tried,
@@ -251,6 +267,7 @@
 	g_string_append_len(text, body, (gssize)size);
 	g_free(address);
 	forward->sends++;
+	forward->is_not_run = FALSE;
 	forward->state = FORWARD_SENT;
 	forward->sent_at = now;
 	fleet_endpoint_begin(endpoint);
@@ -289,12 +306,27 @@
 	return adapters_can_ask(front->adapters, fleet_endpoint_id(endpoint));
 }
 
+/* Whether the reading of its prompt alone makes the streams beside it late. */
+static prompt_length_t prompt_length(const forward_t *forward)
+{
+	double reading = (double)forward->fields.tokens_in * MS_PER_S /
+			 (double)forward->front->settings.prefill_per_s;
+
+	if (!forward->route->pause)
+		return PROMPT_ANY;
+	return reading > LONG_PAUSE_PART * (double)forward->route->pause
+		       ? PROMPT_LONG
+		       : PROMPT_SHORT;
+}
+
 /* How long the request may wait for its place at an engine. */
 static ms_t wait_max(const forward_t *forward, ms_t now)
 {
 	ms_t passed = now - call_arrived_at(forward->call);
 	ms_t goal = forward->route->goal;
 
+	if (forward->asks == 1 && prompt_length(forward) == PROMPT_LONG)
+		return MAX(goal / LONG_WAIT_PART - passed, FIRST_WAIT_MS);
 	if (forward->asks < ASKS_MAX)
 		return FIRST_WAIT_MS;
 	return MAX(goal * LAST_WAIT_GOALS - passed - GOAL_RESERVE_MS,
@@ -356,6 +388,7 @@
 		.version = forward->adapter
 				   ? declared_version(front, forward->adapter)
 				   : 0,
+		.prompt = prompt_length(forward),
 		.tried = forward->tried,
 		.may_load = may_load,
 		.ctx = front,
--- a/lib/front/forward_end.c
+++ b/lib/front/forward_end.c
@@ -18,10 +18,13 @@
 
 static void end_ask(forward_t *forward)
 {
+	gboolean has_run =
+		forward->state == FORWARD_SENT && !forward->is_not_run;
+
 	if (!forward->ask)
 		return;
 	g_hash_table_remove(forward->front->asks, &forward->ask);
-	adapters_done(forward->front->adapters, forward->ask);
+	adapters_done(forward->front->adapters, forward->ask, has_run);
 	forward->ask = 0;
 }
 
--- a/lib/front/forward_private.h
+++ b/lib/front/forward_private.h
@@ -65,7 +65,8 @@
 	guint arrivals;	     /* times that it was sent */
 	gboolean is_counted; /* among the requests for its service */
 	gboolean may_have_run;
-	gboolean is_begun; /* the caller has the head of an answer */
+	gboolean is_not_run; /* the newest attempt, for certain */
+	gboolean is_begun;   /* the caller has the head of an answer */
 	const http1_head_t *head;
 	answer_fields_t answer;
 	GByteArray *held;
--- a/lib/hold/gate.c
+++ b/lib/hold/gate.c
@@ -146,17 +146,21 @@
 	return ticket;
 }
 
-void gate_done(gate_t *gate, ms_t now, ticket_t *ticket)
+void gate_done(gate_t *gate, ms_t now, ticket_t *ticket, gboolean has_run)
 {
 	if (ticket->is_waiting) {
 		TAILQ_REMOVE(&gate->waiting, ticket, link);
 		gate->waiting_count--;
 	} else {
-		double ran = (double)(now - ticket->started_at);
-
 		TAILQ_REMOVE(&gate->running, ticket, link);
 		gate->running_count--;
-		gate->run_time += RUN_WEIGHT * (ran - gate->run_time);
+		if (has_run)
+			gate->run_time += RUN_WEIGHT *
+					  ((double)(now - ticket->started_at) -
+					   gate->run_time);
+		else
+			gate->prefill_left +=
+				prefill_time(gate, &ticket->request);
 	}
 	g_free(ticket);
 }
--- a/lib/hold/gate.h
+++ b/lib/hold/gate.h
@@ -71,8 +71,11 @@
 ticket_t *gate_submit(gate_t *gate, ms_t now, const gate_request_t *request,
 		      void *data, ms_t *wait);
 
-/* The request has ended, or is not sent after all. */
-void gate_done(gate_t *gate, ms_t now, ticket_t *ticket);
+/*
+ * The request has ended, or is not sent after all.  One that the engine has not
+ * run gives its part of the engine's time back.
+ */
+void gate_done(gate_t *gate, ms_t now, ticket_t *ticket, gboolean has_run);
 
 void *ticket_data(const ticket_t *ticket);
 gboolean ticket_is_waiting(const ticket_t *ticket);
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -30,6 +30,20 @@
 /* After a refusal for want of room, until it is asked again. */
 #define FULL_MS 150
 
+/*
+ * Engines for each one that reads the long prompts, rounded up, and the least
+ * fleet that keeps one for them; chosen: one is busy for half of its time with
+ * the long prompts of ten to twenty.
+ */
+#define LONG_ENGINES   20
+#define LONG_FLEET_MIN 6
+
+/* Their place in the hash's order. */
+#define LONG_KEY "long prompts"
+
+/* Mean load, in requests a place, at which these engines are no longer kept. */
+#define LONG_LOAD_MAX 0.6
+
 /* What an endpoint told of its load is of no use after this time. */
 #define LOAD_STALE_MS 2000
 
@@ -44,6 +58,7 @@
 	gboolean is_usable;
 	char **models; /* NULL-terminated */
 	int places;
+	gboolean reads_long;  /* among the engines kept for long prompts */
 	GHashTable *adapters; /* name to version */
 	int in_flight;
 	endpoint_load_t told;
@@ -123,6 +138,44 @@
 	       !strcmp(endpoint->service, info->service);
 }
 
+static gint by_long_weight(gconstpointer a, gconstpointer b)
+{
+	const fleet_endpoint_t *const *first = a;
+	const fleet_endpoint_t *const *second = b;
+	uint64_t weight = hash_rendezvous(LONG_KEY, (*first)->id);
+	uint64_t other = hash_rendezvous(LONG_KEY, (*second)->id);
+
+	return weight < other ? 1 : weight > other ? -1 : 0;
+}
+
+/* Choose anew which engines of a service are kept for long prompts. */
+static void mark_long(fleet_t *fleet, const char *service)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+	guint kept;
+	guint i;
+
+	g_hash_table_iter_init(&iter, fleet->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		fleet_endpoint_t *endpoint = value;
+
+		if (strcmp(endpoint->service, service))
+			continue;
+		endpoint->reads_long = FALSE;
+		if (endpoint->is_usable && endpoint->models)
+			g_ptr_array_add(list, endpoint);
+	}
+	g_ptr_array_sort(list, by_long_weight);
+	kept = list->len < LONG_FLEET_MIN
+		       ? 0
+		       : (list->len + LONG_ENGINES - 1) / LONG_ENGINES;
+	for (i = 0; i < kept; i++)
+		((fleet_endpoint_t *)list->pdata[i])->reads_long = TRUE;
+	g_ptr_array_free(list, TRUE);
+}
+
 fleet_endpoint_t *fleet_set(fleet_t *fleet, const endpoint_info_t *info)
 {
 	fleet_endpoint_t *endpoint =
@@ -140,17 +193,22 @@
 	g_strfreev(endpoint->models);
 	endpoint->models = g_strdupv((char **)info->models);
 	endpoint->places = MAX(info->places, 1);
+	mark_long(fleet, endpoint->service);
 	return endpoint;
 }
 
 void fleet_remove(fleet_t *fleet, const char *id)
 {
 	fleet_endpoint_t *endpoint = g_hash_table_lookup(fleet->endpoints, id);
+	char *service;
 
 	if (!endpoint)
 		return;
 	endpoint->is_usable = FALSE;
+	service = g_strdup(endpoint->service);
 	g_hash_table_remove(fleet->endpoints, id);
+	mark_long(fleet, service);
+	g_free(service);
 }
 
 fleet_endpoint_t *fleet_find(const fleet_t *fleet, const char *id)
@@ -433,6 +491,30 @@
 	choice->is_resident = choice->endpoint && choice->endpoint == resident;
 }
 
+/* Long prompts to the engines kept for them, short ones elsewhere, if possible.
+ */
+static void choose_by_length(const fleet_t *fleet, ms_t now,
+			     const GPtrArray *list, const fleet_query_t *query,
+			     fleet_choice_t *choice)
+{
+	GPtrArray *part = g_ptr_array_new();
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		fleet_endpoint_t *endpoint = list->pdata[i];
+
+		if (endpoint->reads_long == (query->prompt == PROMPT_LONG))
+			g_ptr_array_add(part, endpoint);
+	}
+	if (query->prompt == PROMPT_LONG ||
+	    (query->prompt == PROMPT_SHORT &&
+	     crowded_load(part, now, 1.0) < LONG_LOAD_MAX))
+		choose_adapter(fleet, now, part, query, choice);
+	g_ptr_array_free(part, TRUE);
+	if (!choice->endpoint)
+		choose_adapter(fleet, now, list, query, choice);
+}
+
 void fleet_choose(const fleet_t *fleet, ms_t now, const fleet_query_t *query,
 		  fleet_choice_t *choice)
 {
@@ -444,7 +526,7 @@
 		list = candidates(fleet, now, query, FALSE);
 	}
 	if (query->adapter) {
-		choose_adapter(fleet, now, list, query, choice);
+		choose_by_length(fleet, now, list, query, choice);
 	} else {
 		choice->endpoint = least_loaded(fleet, now, list);
 		choice->is_resident = choice->endpoint != NULL;
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -14,6 +14,11 @@
  * rendezvous hash, so that each adapter and its prompts stay where they are,
  * and on to the next endpoint when the first has more than its share of load.
  *
+ * An engine reads prompts between the tokens of its streams, so that one long
+ * prompt makes all its streams late at once.  A few engines, the first in the
+ * order of a hash of their own, read the long prompts; short ones go there only
+ * when the others have much to do.
+ *
  * An endpoint whose requests fail is left out for a time that grows with each
  * failure, unless all are.  Decision code: the time comes in with each call.
  */
@@ -98,12 +103,20 @@
 /* Requests there for each place, running and waiting, as far as is known. */
 double fleet_endpoint_load(const fleet_endpoint_t *endpoint, ms_t now);
 
+/* How long the reading of a prompt pauses the streams of an engine. */
+typedef enum {
+	PROMPT_ANY,   /* nothing is stated of pauses: any engine will do */
+	PROMPT_SHORT, /* not by itself for longer than they may */
+	PROMPT_LONG   /* for about as long as they may, or longer */
+} prompt_length_t;
+
 typedef struct {
 	const char *service;
 	const char *model;   /* the base model; NULL for a plain service */
 	const char *adapter; /* NULL for none; with the model's name */
 	int64_t version;     /* the oldest version that will do */
-	GPtrArray *tried;    /* fleet_endpoint_t to be left out, or NULL */
+	prompt_length_t prompt;
+	GPtrArray *tried; /* fleet_endpoint_t to be left out, or NULL */
 	/* Whether an adapter can be brought there now; NULL: everywhere. */
 	gboolean (*may_load)(void *ctx, const fleet_endpoint_t *endpoint);
 	void *ctx;
--- a/lib/route/route_table.h
+++ b/lib/route/route_table.h
@@ -32,6 +32,7 @@
 	route_kind_t kind;
 	ms_t timeout; /* the longest that a caller is kept waiting */
 	ms_t goal;    /* an answer within it is on time */
+	ms_t pause;   /* events further apart are late; 0 if none is stated */
 	int attempts; /* endpoints that one request may be sent to */
 	int priority; /* 0 goes first */
 	gboolean is_resumable;
--- a/t/unit/test-gate.c
+++ b/t/unit/test-gate.c
@@ -64,7 +64,7 @@
 		for (i = 0; i < 40; i++) {
 			if (tickets[i] && gone[i] >= 0 &&
 			    now - gone[i] >= 100) {
-				gate_done(gate, now, tickets[i]);
+				gate_done(gate, now, tickets[i], TRUE);
 				tickets[i] = NULL;
 			}
 		}
@@ -118,11 +118,11 @@
 	run_until(gate, 200);
 	assert_int_equal(gate_running(gate), PLACES);
 	assert_int_equal(gate_waiting(gate), 2);
-	gate_done(gate, now, running[0]);
+	gate_done(gate, now, running[0], TRUE);
 	run_until(gate, 300);
 	assert_true(late[1] >= 0);
 	assert_true(late[0] < 0);
-	gate_done(gate, now, running[1]);
+	gate_done(gate, now, running[1], TRUE);
 	run_until(gate, 400);
 	assert_true(late[0] >= 0);
 	gate_destroy(gate);
@@ -162,8 +162,8 @@
 
 	run_until(gate, 10);
 	assert_true(ticket_is_waiting(waiting));
-	gate_done(gate, now, waiting);
-	gate_done(gate, now, big);
+	gate_done(gate, now, waiting, TRUE);
+	gate_done(gate, now, big, TRUE);
 	assert_int_equal(gate_running(gate), 0);
 	assert_int_equal(gate_waiting(gate), 0);
 	run_until(gate, 3000);
@@ -171,6 +171,28 @@
 	gate_destroy(gate);
 }
 
+/*
+ * An engine says that it has not run a long prompt, since its adapter was not
+ * there yet.  The same prompt comes again at once, and doesn't pay twice.
+ */
+static void test_prompt_not_run_costs_nothing(void **state)
+{
+	gate_t *gate = create();
+	gate_request_t request = {.prompt = 8000, .wait_max = 100};
+	ticket_t *ticket;
+	ms_t gone;
+	ms_t wait;
+
+	ticket = gate_submit(gate, now, &request, &gone, &wait);
+	gate_tick(gate, now);
+	assert_int_equal(gate_running(gate), 1);
+	now += 20;
+	gate_done(gate, now, ticket, FALSE);
+	assert_non_null(gate_submit(gate, now, &request, &gone, &wait));
+	assert_int_equal(wait, 0);
+	gate_destroy(gate);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -178,6 +200,7 @@
 		cmocka_unit_test(test_long_prompt),
 		cmocka_unit_test(test_priority),
 		cmocka_unit_test(test_refused_at_once),
+		cmocka_unit_test(test_prompt_not_run_costs_nothing),
 		cmocka_unit_test(test_given_up),
 	};
 
--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -18,6 +18,7 @@
 	"{\"version\":4,\"new\":1,\"routes\":["
 	"{\"name\":\"r1\",\"host\":\"A.example\",\"prefix\":\"/s/\","
 	"\"kind\":\"streaming\",\"timeoutMs\":25000,\"goalMs\":1000,"
+	"\"gapTargetMs\":250,"
 	"\"priority\":0,\"service\":\"llm\",\"attempts\":2,\"resumable\":true},"
 	"{\"name\":\"r2\",\"host\":\"a.example\",\"prefix\":\"/w/\","
 	"\"kind\":\"non_idempotent\",\"timeoutMs\":1000,\"attempts\":1,"
@@ -44,10 +45,12 @@
 	assert_int_equal(stream->kind, ROUTE_STREAMING);
 	assert_true(stream->is_resumable);
 	assert_int_equal(stream->timeout, 25000);
+	assert_int_equal(stream->pause, 250);
 	assert_int_equal(stream->attempts, 2);
 	write = route_table_find(table, "a.example", "/w/1");
 	assert_int_equal(write->kind, ROUTE_NON_IDEMPOTENT);
 	assert_int_equal(write->targets->len, 2);
+	assert_int_equal(write->pause, 0);
 	/* 300 MB are left beside the model, which are 7 adapters. */
 	service = route_table_service(table, "llm");
 	assert_true(service->is_engine);
--- a/t/unit/test-route.c
+++ b/t/unit/test-route.c
@@ -273,6 +273,110 @@
 	fleet_destroy(fleet);
 }
 
+static fleet_endpoint_t *choose_prompt(const fleet_t *fleet, int number,
+				       prompt_length_t prompt, GPtrArray *tried)
+{
+	char *adapter = g_strdup_printf("base/a%d", number);
+	fleet_query_t query = {.service = "assist",
+			       .model = "base",
+			       .adapter = adapter,
+			       .prompt = prompt,
+			       .tried = tried};
+	fleet_choice_t choice;
+
+	fleet_choose(fleet, 0, &query, &choice);
+	g_free(adapter);
+	return choice.endpoint;
+}
+
+static fleet_t *fleet_of(int count)
+{
+	fleet_t *fleet = fleet_create("a");
+	int i;
+
+	for (i = 0; i < count; i++) {
+		char *id = g_strdup_printf("%d", i);
+
+		add_endpoint(fleet, id, 1);
+		g_free(id);
+	}
+	return fleet;
+}
+
+/*
+ * A few prompts in a hundred take as long to read as a stream may pause, for
+ * adapters all over the fleet: they go to one engine of twelve, and nothing
+ * else does.
+ */
+static void test_long_prompts_keep_to_few_engines(void **state)
+{
+	fleet_t *fleet = fleet_of(12);
+	fleet_endpoint_t *kept = choose_prompt(fleet, 0, PROMPT_LONG, NULL);
+	GPtrArray *tried = g_ptr_array_new();
+	int i;
+
+	for (i = 0; i < 200; i++) {
+		assert_ptr_equal(choose_prompt(fleet, i, PROMPT_LONG, NULL),
+				 kept);
+		assert_ptr_not_equal(
+			choose_prompt(fleet, i, PROMPT_SHORT, NULL), kept);
+	}
+	/* It had no place in time: another engine is as good as it gets. */
+	g_ptr_array_add(tried, kept);
+	assert_non_null(choose_prompt(fleet, 1, PROMPT_LONG, tried));
+	/* It leaves, and the next of the order takes its part. */
+	fleet_endpoint_ref(kept);
+	fleet_remove(fleet, fleet_endpoint_id(kept));
+	assert_ptr_not_equal(choose_prompt(fleet, 1, PROMPT_LONG, NULL), kept);
+	fleet_endpoint_unref(kept);
+	g_ptr_array_free(tried, TRUE);
+	fleet_destroy(fleet);
+}
+
+/* High load: no engine is kept free while the others are nearly full. */
+static void test_kept_engine_helps_under_load(void **state)
+{
+	fleet_t *fleet = fleet_of(12);
+	fleet_endpoint_t *kept = choose_prompt(fleet, 0, PROMPT_LONG, NULL);
+	endpoint_load_t told = {.running = 8, .waiting = 0, .places = 10};
+	int used = 0;
+	int i;
+
+	for (i = 0; i < 12; i++) {
+		char *id = g_strdup_printf("%d", i);
+		fleet_endpoint_t *endpoint = fleet_find(fleet, id);
+
+		if (endpoint != kept)
+			fleet_endpoint_note_load(endpoint, 0, &told);
+		g_free(id);
+	}
+	for (i = 0; i < 200; i++)
+		used += choose_prompt(fleet, i, PROMPT_SHORT, NULL) == kept;
+	assert_true(used > 0);
+	fleet_destroy(fleet);
+}
+
+/* Five engines are too few to keep one apart. */
+static void test_small_fleet_keeps_none(void **state)
+{
+	fleet_t *fleet = fleet_of(5);
+	int used[5] = {0};
+	int i;
+
+	for (i = 0; i < 500; i++) {
+		fleet_endpoint_t *long_one =
+			choose_prompt(fleet, i, PROMPT_LONG, NULL);
+		fleet_endpoint_t *short_one =
+			choose_prompt(fleet, i, PROMPT_SHORT, NULL);
+
+		assert_ptr_equal(long_one, short_one);
+		used[atoi(fleet_endpoint_id(short_one))]++;
+	}
+	for (i = 0; i < 5; i++)
+		assert_in_range(used[i], 60, 140);
+	fleet_destroy(fleet);
+}
+
 static gboolean never(void *ctx, const fleet_endpoint_t *endpoint)
 {
 	return FALSE;
@@ -312,6 +416,9 @@
 		cmocka_unit_test(test_leaving_and_reborn),
 		cmocka_unit_test(test_adapters_stay_where_they_are),
 		cmocka_unit_test(test_hot_adapter_gets_replicas),
+		cmocka_unit_test(test_long_prompts_keep_to_few_engines),
+		cmocka_unit_test(test_kept_engine_helps_under_load),
+		cmocka_unit_test(test_small_fleet_keeps_none),
 		cmocka_unit_test(test_nothing_can_be_loaded),
 	};
 
