hold: refuse at once what no order can be sent for any more

Cause: a holder whose lease has ended (here: cut off from the store for 8.8 s) refused new requests for absent adapters at once, but let those wait that had come before and whose load was not ordered yet, up to 4 s.

Change: a tick of the adapter cache without leave to order refuses such wants; the asker goes to the next engine. The cache alone knows that an order is open.

--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -104,6 +104,7 @@
 		.timeout = ORDER_TIMEOUT_MS,
 	};
 
+	g_assert(!held->order);
 	body = engine_render_order(order, model_of(held), instance, fence);
 	request.body = body;
 	request.body_size = strlen(body);
@@ -297,6 +298,16 @@
 	return TRUE;
 }
 
+static gboolean may_order(const held_engine_t *held, ms_t now)
+{
+	const adapters_t *adapters = held->adapters;
+
+	return !adapters->is_stopping &&
+	       fleet_endpoint_is_usable(held->endpoint) &&
+	       holdings_may_order(adapters->holdings, now,
+				  lease_valid_until(adapters->lease), held->id);
+}
+
 /* What waited for its adapter goes to the gate, or back to its asker. */
 static void move_asks(held_engine_t *held, ms_t now)
 {
@@ -310,7 +321,9 @@
 		if (held->is_down)
 			ask_refuse(held, ask, now, REFUSAL_UNREACHABLE, 0);
 		else if (ask->is_refused)
-			ask_refuse(held, ask, now, REFUSAL_NO_SLOT,
+			ask_refuse(held, ask, now,
+				   may_order(held, now) ? REFUSAL_NO_SLOT
+							: REFUSAL_NO_ORDERS,
 				   ADAPTER_RETRY_MS);
 		else if (now - ask->since > ask->load_max)
 			ask_refuse(held, ask, now, REFUSAL_LOADS_AHEAD,
@@ -389,24 +402,13 @@
 	held->gate = gate_create(&gate, &gate_actions, held);
 }
 
-static gboolean may_order(const held_engine_t *held, ms_t now)
-{
-	const adapters_t *adapters = held->adapters;
-
-	return !adapters->is_stopping &&
-	       fleet_endpoint_is_usable(held->endpoint) &&
-	       holdings_may_order(adapters->holdings, now,
-				  lease_valid_until(adapters->lease), held->id);
-}
-
 void held_engine_tick(held_engine_t *held, ms_t now)
 {
 	follow_incarnation(held);
 	if (!held->cache)
 		return;
 	if (now >= held->call_at)
-		adapter_cache_tick(held->cache, now,
-				   !held->order && may_order(held, now));
+		adapter_cache_tick(held->cache, now, may_order(held, now));
 	move_asks(held, now);
 }
 
--- a/lib/hold/adapter_cache.h
+++ b/lib/hold/adapter_cache.h
@@ -188,7 +188,10 @@
 void adapter_cache_report(adapter_cache_t *cache, ms_t now,
 			  const cache_report_t *report);
 
-/* Do what is due; may_order tells whether orders may be sent now. */
+/*
+ * Do what is due; may_order tells whether orders may be sent now.  If not,
+ * wants for which no order is under way are refused.
+ */
 void adapter_cache_tick(adapter_cache_t *cache, ms_t now, gboolean may_order);
 
 /* Adapters that are usable. */
--- a/lib/hold/adapter_cache_order.c
+++ b/lib/hold/adapter_cache_order.c
@@ -42,6 +42,20 @@
 	}
 }
 
+/* No order can be sent any more: what none was sent for won't come. */
+static void refuse_unordered_wants(adapter_cache_t *cache)
+{
+	entry_t *entry;
+	entry_t *next;
+
+	for (entry = TAILQ_FIRST(&cache->entries); entry; entry = next) {
+		next = TAILQ_NEXT(entry, link);
+		if (entry->is_wanted && entry != cache->ordered &&
+		    entry->state != STATE_LOADING)
+			refuse(cache, entry);
+	}
+}
+
 /* The want that waits longest and that a load would meet. */
 static entry_t *next_want(const adapter_cache_t *cache)
 {
@@ -182,6 +196,8 @@
 {
 	presume_ready(cache, now);
 	refuse_old_wants(cache, now);
+	if (!may_order)
+		refuse_unordered_wants(cache);
 	if (wants_report(cache, now)) {
 		cache->is_report_open = TRUE;
 		cache->actions.ask_report(cache->ctx);
--- a/t/unit/test-hold.c
+++ b/t/unit/test-hold.c
@@ -232,6 +232,45 @@
 	destroy(cache, &seen);
 }
 
+/*
+ * The holder's lease ends while a want waits behind four loads: it is refused
+ * at once, and what is on its way is still awaited.
+ */
+static void test_no_more_orders(void **state)
+{
+	static const char *const names[] = {"m/a", "m/b", "m/c", "m/d", "m/e"};
+	static const cache_options_t options = {
+		.slot_count = 8,
+		.load_time = LOAD_MS,
+		.again_time = AGAIN_MS,
+		.loads_per_engine = 4,
+	};
+	seen_t seen;
+	adapter_cache_t *cache;
+	ms_t now = 10;
+	int i;
+
+	memset(&seen, 0, sizeof(seen));
+	seen.told = g_string_new(NULL);
+	cache = adapter_cache_create(&options, &actions, &seen);
+	adapter_cache_tick(cache, 0, TRUE);
+	report(cache, 0, 0, NULL, 0);
+	for (i = 0; i < 5; i++, now += 2) {
+		want(cache, now, names[i]);
+		adapter_cache_tick(cache, now, TRUE);
+		if (i < CACHE_COMING_MAX)
+			adapter_cache_answered(cache, now + 1,
+					       CACHE_ANSWER_ACCEPTED);
+	}
+	assert_int_equal(seen.orders, CACHE_COMING_MAX);
+	expect_told(&seen, "");
+	adapter_cache_tick(cache, now, FALSE);
+	expect_told(&seen, "refused m/e;");
+	adapter_cache_tick(cache, now + LOAD_MS, FALSE);
+	expect_told(&seen, "ready m/a@1;ready m/b@1;ready m/c@1;ready m/d@1;");
+	destroy(cache, &seen);
+}
+
 /* A request came too early, or what was there is gone. */
 static void test_missing(void **state)
 {
@@ -438,6 +477,7 @@
 		cmocka_unit_test(test_load_and_make_room),
 		cmocka_unit_test(test_order_without_answer),
 		cmocka_unit_test(test_count_too_high),
+		cmocka_unit_test(test_no_more_orders),
 		cmocka_unit_test(test_missing),
 		cmocka_unit_test(test_newer_version),
 		cmocka_unit_test(test_base_model),
