front: an instance told of news it lacks polls anew

The two instances that poll for all read all items anew and told nobody; polls that the others had begun meanwhile waited 4 s before they learnt of it.

Ruled out: the pause between readings anew (the first has none); the others' links (their polls were answered at their end).

--- a/lib/front/front_items.c
+++ b/lib/front/front_items.c
@@ -197,16 +197,13 @@
 	return size;
 }
 
-/* After each poll, also one without news: the others then need none. */
-void front_on_polled(void *ctx, int64_t revision)
+static void tell_news(front_t *front)
 {
-	front_t *front = ctx;
 	news_t news = {
 		.items = (const kv_item_t *)(const void *)front->news->data,
 		.count = front->news->len,
 	};
 
-	relay_read(front->relay, revision);
 	if (relay_tell(front->relay, size_of_news(front), &news.from,
 		       &news.to) &&
 	    front->adapters) {
@@ -217,6 +214,15 @@
 	g_array_set_size(front->news, 0);
 }
 
+/* After each poll, also one without news: the others then need none. */
+void front_on_polled(void *ctx, int64_t revision)
+{
+	front_t *front = ctx;
+
+	relay_read(front->relay, revision);
+	tell_news(front);
+}
+
 gboolean front_may_skip(void *ctx, ms_t last)
 {
 	front_t *front = ctx;
@@ -229,10 +235,13 @@
 	front_t *front = ctx;
 	size_t i;
 
-	if (!mirror_is_synced(front->mirror) ||
-	    !relay_heard(front->relay, ms_clock_now(front->clock), news->from,
-			 news->to))
+	if (!mirror_is_synced(front->mirror))
+		return;
+	if (!relay_heard(front->relay, ms_clock_now(front->clock), news->from,
+			 news->to)) {
+		mirror_hasten(front->mirror);
 		return;
+	}
 	for (i = 0; i < news->count; i++)
 		mirror_take(front->mirror, &news->items[i]);
 }
@@ -248,11 +257,15 @@
 {
 	front_t *front = ctx;
 
-	/* Who has not read them sees that from the revisions. */
+	/*
+	 * Who has not read them sees that from the revisions, and only there:
+	 * the store need not have told others that it dropped its history.
+	 */
 	g_array_set_size(front->news, 0);
 	relay_read_all(front->relay, mirror_revision(front->mirror));
 	log_info("items read", NULL, NULL);
 	adapters_on_synced(front->adapters);
+	tell_news(front);
 }
 
 void front_on_contact(void *ctx, gboolean is_lost)
--- a/lib/front/mirror.c
+++ b/lib/front/mirror.c
@@ -172,6 +172,12 @@
 		hand_out(mirror, item);
 }
 
+void mirror_hasten(mirror_t *mirror)
+{
+	if (mirror->watch)
+		kv_watch_hasten(mirror->kv, mirror->watch);
+}
+
 gboolean mirror_is_synced(const mirror_t *mirror)
 {
 	return mirror->is_synced;
--- a/lib/front/mirror.h
+++ b/lib/front/mirror.h
@@ -46,6 +46,9 @@
 /* An item that another instance read. */
 void mirror_take(mirror_t *mirror, const kv_item_t *item);
 
+/* Another instance knows of items that were not read here. */
+void mirror_hasten(mirror_t *mirror);
+
 /* The newest revision of the service that was read. */
 int64_t mirror_revision(const mirror_t *mirror);
 
--- a/lib/kv/kv.c
+++ b/lib/kv/kv.c
@@ -79,3 +79,9 @@
 {
 	kv->calls.watch_cancel(kv->ctx, watch);
 }
+
+void kv_watch_hasten(kv_t *kv, kv_watch_t *watch)
+{
+	if (kv->calls.watch_hasten)
+		kv->calls.watch_hasten(kv->ctx, watch);
+}
--- a/lib/kv/kv.h
+++ b/lib/kv/kv.h
@@ -94,6 +94,8 @@
 			     kv_watch_event_t on_event, kv_watch_end_t on_end,
 			     void *watch_ctx);
 	void (*watch_cancel)(void *ctx, kv_watch_t *watch);
+	/* NULL if a watch never waits for an answer. */
+	void (*watch_hasten)(void *ctx, kv_watch_t *watch);
 	void (*destroy)(void *ctx);
 } kv_calls_t;
 
@@ -121,4 +123,10 @@
 		     void *ctx);
 void kv_watch_cancel(kv_t *kv, kv_watch_t *watch);
 
+/*
+ * The service is known to have events that this watch has not brought.  If it
+ * waits for an answer, and that does not come soon, it asks again.
+ */
+void kv_watch_hasten(kv_t *kv, kv_watch_t *watch);
+
 #endif
