front: let other instances reach one by another address; soak links between them

An instance told its peers the address it listens on, so that no proxy could stand between.

Change: setting peer_address (as behind a translation of addresses), checked at the start. The soak has a link before each instance for its peers, with random numbers of its own so that known seeds keep their faults, and two clients that make eight requests on one connection.

Not in it: clocks that step (no program of ours can be given another clock from outside without preloading).

--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -199,8 +199,11 @@
 	adapters->options = *options;
 	adapters->events = *events;
 	adapters->ctx = ctx;
-	adapters->record = g_strdup_printf("%s:%d", options->listen_address,
-					   options->listen_port);
+	adapters->record =
+		*options->peer_address
+			? g_strdup(options->peer_address)
+			: g_strdup_printf("%s:%d", options->listen_address,
+					  options->listen_port);
 	adapters->client = http_client_create(loop);
 	adapters->lease = create_lease(adapters);
 	adapters->holdings = create_holdings(adapters);
--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -76,7 +76,8 @@
 typedef struct {
 	const char *listen_address; /* for the other instances */
 	int listen_port;
-	ms_t order_gap; /* between orders of two holders */
+	const char *peer_address; /* "IP:PORT" told to them; "": the above */
+	ms_t order_gap;		  /* between orders of two holders */
 	ms_t lease_ttl;
 	ms_t load_time;		 /* of an adapter from the store of weights */
 	ms_t again_time;	 /* of one that the engine held recently */
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -50,6 +50,7 @@
 		{"callers_listen", SETTING_TEXT, &at->callers_listen, NULL, 0,
 		 0},
 		{"ready_listen", SETTING_TEXT, &at->ready_listen, NULL, 0, 0},
+		{"peer_address", SETTING_TEXT, &at->peer_address, "", 0, 0},
 		{"metrics_port", SETTING_INT, &at->metrics_port, "0", 0, 65535},
 		{"descriptors", SETTING_INT, &at->descriptors, "4096", 1000,
 		 1000000},
@@ -328,6 +329,7 @@
 	adapters_options_t options = {
 		.listen_address = settings->address,
 		.listen_port = (int)settings->owner_port,
+		.peer_address = front->settings.peer_address,
 		.order_gap = front->settings.order_gap_ms,
 		.lease_ttl = MAX(front->settings.lease_ttl_ms,
 				 front->settings.lease_ttl_min_ms),
@@ -359,6 +361,19 @@
 	front->load_wait_time = histogram_get("hc_adapter_wait_ms");
 }
 
+/* Where others reach this one is written for them as it is. */
+static gboolean check_peer_address(const front_t *front, GError **error)
+{
+	char *host = NULL;
+	int port;
+	gboolean ok = !*front->settings.peer_address ||
+		      process_split_address(front->settings.peer_address, &host,
+					    &port, error);
+
+	g_free(host);
+	return ok;
+}
+
 gboolean front_start(front_t *front, process_t *process, GError **error)
 {
 	static const mirror_events_t mirror_events = {front_on_item,
@@ -383,7 +398,8 @@
 	create_metrics(front);
 	front->fleet = fleet_create(process_settings(process)->failure_domain);
 	front->links = links_create(&links);
-	if (!create_budget(front, error) || !create_store(front, error))
+	if (!check_peer_address(front, error) || !create_budget(front, error) ||
+	    !create_store(front, error))
 		return FALSE;
 	create_adapters(front);
 	front->mirror = mirror_create(front->kv, process_loop(process),
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -25,6 +25,8 @@
 typedef struct {
 	char *callers_listen; /* "IP:PORT" */
 	char *ready_listen;
+	char *peer_address; /* "IP:PORT" by which others reach this one, or ""
+			     */
 	int64_t metrics_port;
 	int64_t descriptors;  /* that this process may open */
 	int64_t grace_s;      /* from SIGTERM to the end */
--- a/t/lib/front.sh
+++ b/t/lib/front.sh
@@ -11,8 +11,10 @@
 #	adapter N NAME [OPTION...]	a stream of an adapter through instance N
 #	control ID QUERY		set a fault of a model ('store' or an id)
 #	start_links			a standin-proxy before the store, one for each
-#					of $instances, and before each endpoint
-#	link NAME QUERY			set a fault of a link (store1, engine-1 ...)
+#					of $instances, before each endpoint, and
+#					before each of $instances for its peers
+#	link NAME QUERY			set a fault of a link (store1, engine-1,
+#					peer1 ...)
 #	ledger ID			what ran there
 #	total FIELD ID...		the sum of a field of ledgers
 
@@ -51,7 +53,7 @@
 	set --
 	for n in $instances
 	do
-		set -- "$@" "store$n=$(model store)"
+		set -- "$@" "store$n=$(model store)" "peer$n=$(ip "$n"):8002"
 	done
 	for endpoint in $endpoints
 	do
@@ -81,6 +83,16 @@
 	fi
 }
 
+# Where the others find instance N.
+peer_of () {
+	if test -f "$work/links.out"
+	then
+		link_address "peer$1"
+	else
+		echo "$(ip "$1"):8002"
+	fi
+}
+
 put_item () {
 	curl -sS -X PUT "http://$(model store)/control?key=$1" \
 		--data-binary @- -o /dev/null
@@ -128,6 +140,7 @@
 		"callers_listen": "$(ip "$1"):8000",
 		"ready_listen": "$(ip "$1"):8001",
 		"owner_port": 8002,
+		"peer_address": "$(peer_of "$1")",
 		"key_value_service": ["$(store_of "$1")"],
 		"grace_s": 6,
 		"order_gap_ms": 300,
--- a/t/t0801-front.sh
+++ b/t/t0801-front.sh
@@ -93,6 +93,18 @@
 1
 END
 
+# Where others are to reach it is checked before anything listens.
+front_settings 3
+sed -i 's/"peer_address": ".*"/"peer_address": "nowhere"/' "$work/front3.json"
+wrong_start () {
+	"$bin/hc-front" --settings "$work/front3.json" 2>&1 </dev/null
+	echo "status $?"
+}
+expect 'an address that none can reach is refused' wrong_start <<\END
+hc-front: 'nowhere' is no address; write it as IP:PORT
+status 1
+END
+
 # One that begins without the store knows nothing yet, and says why.
 control store mode=refuse
 front_settings 2
--- a/t/t0805-front-soak.sh
+++ b/t/t0805-front-soak.sh
@@ -6,9 +6,10 @@
 # Instances are killed, frozen, stopped and started; endpoints fail, refuse, cut
 # their answers, restart and leave; the store is away, silent, forgets its history
 # and loses answers; orders are late; the configuration changes.  Links from single
-# instances to the store, and to each endpoint, are delayed, silenced, cut one way
-# and reset.  Events overlap.  Clients go on all the while.  Checked at the end, by what clients and endpoints
-# saw:
+# instances to the store, to each endpoint, and to each instance from the others are
+# delayed, silenced, cut one way and reset.  Events overlap.  Clients go on all the
+# while, some of them on connections that they keep.  Checked at the end, by what
+# clients and endpoints saw:
 #
 #  - no request that may not be repeated ran twice;
 #  - what was refused has not run;
@@ -24,6 +25,9 @@
 # The platform's bound for being back after all processes died.
 RECOVERY_SECONDS=12
 CLIENTS=4
+# Of these, each makes as many requests on one connection.
+KEPT_CLIENTS=2
+KEPT_REQUESTS=8
 INSTANCES=3
 instances='1 2 3'
 
@@ -34,7 +38,7 @@
 	random_value=$((random_state / 65536 % $1))
 }
 
-# The same with a state of its own, so that the faults of links change no other.
+# The same with states of their own, so that the faults of links change no other.
 link_state=$SEED
 link_random () {
 	other_state=$random_state
@@ -43,6 +47,14 @@
 	link_state=$random_state
 	random_state=$other_state
 }
+peer_state=$SEED
+peer_random () {
+	other_state=$random_state
+	random_state=$peer_state
+	random "$1"
+	peer_state=$random_state
+	random_state=$other_state
+}
 
 start_models --events 12 --event-ms 15
 start_links
@@ -96,7 +108,53 @@
 		sleep 0.02
 	done >"$work/client$1"
 }
+# Reads, and streams that may be resumed: curl itself repeats what was sent on a kept
+# connection that closed without an answer.
+kept_client () {
+	number=0
+	while test ! -e "$work/end"
+	do
+		number=$((number + 1))
+		to=$((1 + (number + $1) % INSTANCES))
+		me=$1
+		set --
+		for part in $(seq "$KEPT_REQUESTS")
+		do
+			id=k$me-$number-$part-$SEED
+			test "$part" = 1 || set -- "$@" --next
+			kind=read
+			path=/read/x
+			if test $((part % 2)) = 0
+			then
+				kind=resume
+				path=/resume/x
+				set -- "$@" -X POST -d prompt \
+					-H 'X-Hawthorncross-Token-Count: 50,20' \
+					-H "X-Hawthorncross-Model: base/a$((number % 7))"
+			fi
+			set -- "$@" -s --max-time 6 -o "$work/kept$me-$part" \
+				-w "$kind $id %{http_code} %{exitcode} $part\n" \
+				-H 'Host: front.example' \
+				-H "X-Hawthorncross-Request-Id: $id" \
+				-H 'X-Hawthorncross-Deadline-Ms: 3000' \
+				"http://$(ip "$to"):8000$path"
+		done
+		curl "$@" | while read -r kind id status code part
+		do
+			pieces=$(grep -c '^data: piece' "$work/kept$me-$part" \
+				2>/dev/null)
+			echo "$kind $id $status $code ${pieces:-0}"
+		done
+		rm -f "$work/kept$me-"*
+		set -- "$me"
+	done >"$work/client-kept$1"
+}
 clients=
+for n in $(seq "$KEPT_CLIENTS")
+do
+	kept_client "$n" &
+	clients="$clients $!"
+done
 for n in $(seq "$CLIENTS")
 do
 	client "$n" &
@@ -165,12 +223,29 @@
 	4) link "$link" reset=1 ;;
 	esac
 }
+peer_event () {
+	peer_random "$INSTANCES"
+	peer=peer$((random_value + 1))
+	peer_random 10
+	echo "$(date +%s) peer event $random_value $peer" >>"$work/events"
+	case $random_value in
+	0) link "$peer" delay_ms=200 ;;
+	1) link "$peer" mode=silent ;;
+	2) link "$peer" mode=mute_to ;;
+	3) link "$peer" mode=mute_from ;;
+	4) link "$peer" reset=1 ;;
+	esac
+}
+mend_peer () {
+	peer_random "$INSTANCES"
+	mend_link "peer$((random_value + 1))"
+}
 # A held-up order would arrive after its holder's successor has ordered, which the
 # platform excuses for 300 ms and the model doesn't; so what a cut link to an endpoint
 # held up is lost.  Orders that are late by themselves are an event of their own.
 mend_link () {
 	case $1 in
-	store*) link "$1" 'mode=open&delay_ms=0' ;;
+	store*|peer*) link "$1" 'mode=open&delay_ms=0' ;;
 	*) link "$1" 'mode=open&delay_ms=0&reset=1' ;;
 	esac
 }
@@ -190,17 +265,19 @@
 do
 	event
 	link_event
+	peer_event
 	sleep 0.3
 	mend
 	pick_link
 	mend_link "$link"
+	mend_peer
 	sleep 0.2
 	mend
 done
 
 # All faults end; then everything has to be served again.
 control store mode=up
-for link in store1 store2 store3 $endpoints
+for link in store1 store2 store3 peer1 peer2 peer3 $endpoints
 do
 	mend_link "$link"
 done
