route, front: an adapter that is late is waited for where it is on its way

Cause: an engine that did not hold an adapter yet answers 421, and the request was to go to the same engine again.

Change: fleet_choose() takes the engine that lacked the adapter, while it is usable, was not tried in vain and its holder can be asked. That the adapter is missing is told to that engine's holder only.

--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -395,6 +395,8 @@
 	};
 	fleet_choice_t choice = {0};
 
+	if (forward->is_missing)
+		query.again = fleet_find(front->fleet, forward->last_endpoint);
 	if (forward->asks < ASKS_MAX && forward->misses < MISSES_MAX)
 		fleet_choose(front->fleet, now, &query, &choice);
 	/*
@@ -409,6 +411,8 @@
 		no_endpoint(forward);
 		return;
 	}
+	forward->is_missing =
+		forward->is_missing && choice.endpoint == query.again;
 	forward->endpoint = fleet_endpoint_ref(choice.endpoint);
 	g_free(forward->last_endpoint);
 	forward->last_endpoint = g_strdup(fleet_endpoint_id(choice.endpoint));
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -515,12 +515,24 @@
 		choose_adapter(fleet, now, list, query, choice);
 }
 
+static gboolean may_try_again(const fleet_query_t *query)
+{
+	return query->again && query->again->is_usable &&
+	       !is_tried(query, query->again) &&
+	       (!query->may_load || query->may_load(query->ctx, query->again));
+}
+
 void fleet_choose(const fleet_t *fleet, ms_t now, const fleet_query_t *query,
 		  fleet_choice_t *choice)
 {
-	GPtrArray *list = candidates(fleet, now, query, TRUE);
+	GPtrArray *list;
 
 	memset(choice, 0, sizeof(*choice));
+	if (may_try_again(query)) {
+		choice->endpoint = query->again;
+		return;
+	}
+	list = candidates(fleet, now, query, TRUE);
 	if (!list->len) {
 		g_ptr_array_free(list, TRUE);
 		list = candidates(fleet, now, query, FALSE);
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -19,6 +19,9 @@
  * order of a hash of their own, read the long prompts; short ones go there only
  * when the others have much to do.
  *
+ * A load may take longer than was supposed: an engine that lacked an adapter is
+ * chosen again, since another would have to fetch it as well.
+ *
  * An endpoint whose requests fail is left out for a time that grows with each
  * failure, unless all are.  Decision code: the time comes in with each call.
  */
@@ -117,6 +120,8 @@
 	int64_t version;     /* the oldest version that will do */
 	prompt_length_t prompt;
 	GPtrArray *tried; /* fleet_endpoint_t to be left out, or NULL */
+	/* Was to have the adapter and lacked it; chosen if it may be. */
+	fleet_endpoint_t *again; /* or NULL */
 	/* Whether an adapter can be brought there now; NULL: everywhere. */
 	gboolean (*may_load)(void *ctx, const fleet_endpoint_t *endpoint);
 	void *ctx;
--- a/t/unit/test-route.c
+++ b/t/unit/test-route.c
@@ -405,6 +405,57 @@
 	fleet_destroy(fleet);
 }
 
+static gboolean is_other(void *ctx, const fleet_endpoint_t *endpoint)
+{
+	return endpoint != ctx;
+}
+
+/*
+ * Load: cold adapters for many requests at once, so that loads take longer than
+ * was supposed.  An engine says that the adapter is not there yet; by then it
+ * has more than its share of requests.  Another one would have to fetch the
+ * adapter as well.
+ */
+static void test_late_load_is_waited_for(void **state)
+{
+	fleet_t *fleet = fleet_of(8);
+	fleet_query_t query = {
+		.service = "assist", .model = "base", .adapter = "base/cold"};
+	fleet_endpoint_t *first;
+	fleet_choice_t choice;
+	int i;
+
+	fleet_choose(fleet, 0, &query, &choice);
+	first = choice.endpoint;
+	for (i = 0; i < 9; i++)
+		fleet_endpoint_begin(first);
+	fleet_choose(fleet, 0, &query, &choice);
+	assert_ptr_not_equal(choice.endpoint, first);
+	query.again = first;
+	fleet_choose(fleet, 0, &query, &choice);
+	assert_ptr_equal(choice.endpoint, first);
+	assert_null(choice.replica);
+
+	/* It was tried in vain, its holder is gone, or it leaves. */
+	query.tried = g_ptr_array_new();
+	g_ptr_array_add(query.tried, first);
+	fleet_choose(fleet, 0, &query, &choice);
+	assert_ptr_not_equal(choice.endpoint, first);
+	g_ptr_array_free(query.tried, TRUE);
+	query.tried = NULL;
+	query.may_load = is_other;
+	query.ctx = first;
+	fleet_choose(fleet, 0, &query, &choice);
+	assert_ptr_not_equal(choice.endpoint, first);
+	query.may_load = NULL;
+	fleet_endpoint_ref(first);
+	fleet_remove(fleet, fleet_endpoint_id(first));
+	fleet_choose(fleet, 0, &query, &choice);
+	assert_ptr_not_equal(choice.endpoint, first);
+	fleet_endpoint_unref(first);
+	fleet_destroy(fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -420,6 +471,7 @@
 		cmocka_unit_test(test_kept_engine_helps_under_load),
 		cmocka_unit_test(test_small_fleet_keeps_none),
 		cmocka_unit_test(test_nothing_can_be_loaded),
+		cmocka_unit_test(test_late_load_is_waited_for),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
