front: give up all that waits at a holder that is silent

Ruled out: a lost answer (those move on after 250 ms), the connection (it stays up while a process stands still), the load (none was ordered).

Change: noting a holder as silent gives up each question that waits there; the holder hears of it should it go on.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -41,6 +41,7 @@
 	REFUSAL_NO_PLACE,    /* it would wait too long for a place */
 	REFUSAL_NO_SLOT,     /* all adapters there are in use */
 	REFUSAL_LOADS_AHEAD, /* too many loads are ahead, at all engines */
+	REFUSAL_SILENT,	     /* the holder does not answer */
 	REFUSAL_COUNT
 } refusal_t;
 
@@ -125,7 +126,8 @@
 
 /*
  * The holder has not answered in time: it is left out until something is heard
- * of it, or for SILENT_MS.
+ * of it, or for SILENT_MS.  on_refused() is called at once for the other
+ * questions that wait there.
  */
 void adapters_note_silent(adapters_t *adapters, ask_id_t ask);
 
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -36,6 +36,7 @@
 		[REFUSAL_NO_PLACE] = "no place at the engine in time",
 		[REFUSAL_NO_SLOT] = "all adapters of the engine are in use",
 		[REFUSAL_LOADS_AHEAD] = "too many loads are ahead",
+		[REFUSAL_SILENT] = "the engine's holder is silent",
 	};
 
 	return names[refusal];
@@ -309,34 +310,40 @@
 	log_info("peer connected", "peer", name, NULL);
 }
 
-/* Questions that the holder has not answered are void. */
-static void on_down(void *ctx, const char *name)
+/* Questions that the holder has not let through are void, all but one. */
+static void give_up_holder(adapters_t *adapters, const char *name, ask_id_t but,
+			   refusal_t refusal)
 {
-	adapters_t *adapters = ctx;
 	GArray *lost = g_array_new(FALSE, FALSE, sizeof(ask_id_t));
 	GHashTableIter iter;
 	gpointer id;
 	gpointer value;
 	guint i;
 
-	log_info("peer lost", "peer", name, NULL);
 	g_hash_table_iter_init(&iter, adapters->asked);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
 		const asked_t *asked = value;
 
-		if (!g_strcmp0(asked->holder, name) && !asked->is_let_through)
+		if (*(ask_id_t *)id != but && !asked->is_let_through &&
+		    !g_strcmp0(asked->holder, name))
 			g_array_append_val(lost, *(ask_id_t *)id);
 	}
 	for (i = 0; i < lost->len; i++) {
 		ask_id_t ask = g_array_index(lost, ask_id_t, i);
 
-		forget_asked(adapters, ask);
-		adapters->events.on_refused(adapters->ctx, ask,
-					    REFUSAL_NOT_HELD, 0);
+		/* The holder hears of it, should it go on. */
+		adapters_done(adapters, ask, FALSE);
+		adapters->events.on_refused(adapters->ctx, ask, refusal, 0);
 	}
 	g_array_free(lost, TRUE);
 }
 
+static void on_down(void *ctx, const char *name)
+{
+	log_info("peer lost", "peer", name, NULL);
+	give_up_holder(ctx, name, 0, REFUSAL_NOT_HELD);
+}
+
 static void keep_peer(adapters_t *adapters, const char *instance,
 		      const char *record)
 {
@@ -445,13 +452,17 @@
 {
 	const asked_t *asked = g_hash_table_lookup(adapters->asked, &id);
 	ms_t now = ms_clock_now(process_clock(adapters->process));
+	char *holder;
 
 	if (!asked || !asked->holder)
 		return;
 	log_info("holder silent", "peer", asked->holder, "endpoint",
 		 asked->engine, NULL);
-	g_hash_table_insert(adapters->silent, g_strdup(asked->holder),
+	holder = g_strdup(asked->holder);
+	g_hash_table_insert(adapters->silent, g_strdup(holder),
 			    g_memdup2(&now, sizeof(now)));
+	give_up_holder(adapters, holder, id, REFUSAL_SILENT);
+	g_free(holder);
 }
 
 void adapters_done(adapters_t *adapters, ask_id_t id, gboolean has_run)
--- /dev/null
+++ b/t/t0808-front-frozen-holder.sh
@@ -0,0 +1,53 @@
+#!/bin/sh
+# A holder stands still while requests wait there for their adapters.  Once it has
+# not answered one more, the others do not wait for it either.
+. "$(dirname "$0")/lib/front.sh"
+
+LOAD_MS=800
+
+start_models --load-ms "$LOAD_MS"
+write_config 1
+for n in 1 2
+do
+	front_settings "$n"
+	sed -i "s/\"adapter_load_ms\": [0-9]*/\"adapter_load_ms\": $LOAD_MS/" \
+		"$work/front$n.json"
+	start_front "$n"
+done
+held () {
+	curl -s "http://$(ip "$1"):8001/status" |
+	grep -o '"engine-[12]-1":' | wc -l
+}
+share () {
+	test "$(held 1)" = 1 && test "$(held 2)" = 1
+}
+wait_for share
+# Each engine has its base model.
+adapter 1 m1 -o /dev/null
+adapter 1 m2 -o /dev/null
+adapter 1 m3 -o /dev/null
+
+# Cold adapters, some of them at the engine of the second instance.
+for name in c1 c2 c3 c4
+do
+	adapter 1 "$name" -o /dev/null -w '%{http_code}\n' >"$work/$name" &
+	asking="$asking $!"
+done
+sleep 0.2
+freeze front2
+# New requests show that the holder is silent.
+for name in d1 d2 d3 d4
+do
+	adapter 1 "$name" -o /dev/null &
+	asking="$asking $!"
+done
+# A silence of 250 ms, then a load elsewhere, or a refusal for want of time.
+all_ended () {
+	test "$(cat "$work"/c? | wc -l)" = 4
+}
+within_seconds 2 all_ended
+thaw front2
+wait $asking
+grep -q '"event":"holder silent"' "$work/front1.out" ||
+	fail 'no request met the frozen holder'
+finish
