--- a/lib/bench/cluster.c
+++ b/lib/bench/cluster.c
@@ -68,6 +68,7 @@
 		result->abandoned++;
 		cluster_note_given_up(cluster, request);
 	}
+	cluster_fleet_ended(request);
 	g_hash_table_remove(cluster->requests, &request->id);
 }
 
@@ -78,6 +79,7 @@
 	if (cluster_is_measured(cluster, request->arrival))
 		cluster->result->refusals++;
 	request->endpoint = -1;
+	cluster_fleet_ended(request);
 	if (when > request->arrival + cluster->profile->patience_ms) {
 		abandon(cluster, request);
 		return;
@@ -166,6 +168,7 @@
 		cluster->result->requests++;
 		cluster->result->answered++;
 	}
+	cluster_fleet_ended(request);
 	g_hash_table_remove(cluster->requests, &id);
 	if (next < round->step_count)
 		begin_request(cluster, round, next,
@@ -221,6 +224,9 @@
 		home.pending_time = 0;
 	instance->home = home_create(&home, instance->table, &actions, instance,
 				     cluster->rand);
+	instance->fleet = cluster_fleet_create(cluster);
+	instance->wants =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim_at(cluster->sim, MS_PER_S, home_event, instance, NULL);
 }
 
@@ -296,6 +302,8 @@
 	}
 	for (i = 0; i < cluster->profile->instances; i++) {
 		home_destroy(cluster->instances[i].home);
+		fleet_destroy(cluster->instances[i].fleet);
+		g_hash_table_destroy(cluster->instances[i].wants);
 		placement_destroy(cluster->instances[i].table);
 	}
 	for (i = 0; i < cluster->adapter_count; i++)
--- /dev/null
+++ b/lib/bench/cluster_fleet.c
@@ -0,0 +1,118 @@
+/*
+ * Instances that choose engines by route/fleet.h.
+ *
+ * As with hc-front, an instance learns that an engine holds an adapter, and the
+ * engine's load, when a request of its own goes ahead there, and hears of it
+ * when an adapter is unloaded.
+ */
+
+#include <stdlib.h>
+
+#include "bench/cluster_state.h"
+
+#define SERVICE "service"
+#define VERSION 1
+
+/* As in front/forward.c. */
+#define WANT_AGAIN_MS 3000
+
+fleet_t *cluster_fleet_create(const cluster_t *cluster)
+{
+	char *models[] = {(char *)SERVICE, NULL};
+	fleet_t *fleet = fleet_create("");
+	int i;
+
+	for (i = 0; i < cluster->profile->endpoints; i++) {
+		char name[NAME_SIZE];
+		const endpoint_info_t info = {
+			.id = name,
+			.service = SERVICE,
+			.address = "",
+			.failure_domain = "",
+			.places = (int)cluster->profile->places,
+			.is_engine = TRUE,
+			.models = models,
+		};
+
+		g_snprintf(name, NAME_SIZE, "e%d", i);
+		fleet_set(fleet, &info);
+	}
+	return fleet;
+}
+
+static void want_replica(cluster_t *cluster, const instance_t *instance,
+			 const fleet_endpoint_t *engine, const char *adapter)
+{
+	int index = atoi(fleet_endpoint_id(engine) + 1);
+	ms_t now = sim_now(cluster->sim);
+	const ms_t *last = g_hash_table_lookup(instance->wants, adapter);
+
+	if (last && now - *last < WANT_AGAIN_MS)
+		return;
+	g_hash_table_insert(instance->wants, g_strdup(adapter),
+			    g_memdup2(&now, sizeof(now)));
+	slots_expect(cluster->endpoints[index].slots, sim_now(cluster->sim),
+		     adapter, 1);
+}
+
+int cluster_fleet_route(cluster_t *cluster, request_t *request,
+			const char *adapter)
+{
+	const fleet_query_t query = {.service = SERVICE,
+				     .model = SERVICE,
+				     .adapter = adapter,
+				     .version = VERSION,
+				     .prompt = PROMPT_ANY};
+	fleet_choice_t choice;
+
+	fleet_choose(cluster->instances[request->entry].fleet,
+		     sim_now(cluster->sim), &query, &choice);
+	if (!choice.endpoint)
+		return -1;
+	if (choice.replica)
+		want_replica(cluster, &cluster->instances[request->entry],
+			     choice.replica, adapter);
+	request->counted_at = fleet_endpoint_ref(choice.endpoint);
+	fleet_endpoint_begin(choice.endpoint);
+	return atoi(fleet_endpoint_id(choice.endpoint) + 1);
+}
+
+void cluster_fleet_started(const endpoint_t *endpoint, const request_t *request)
+{
+	const cluster_t *cluster = endpoint->cluster;
+	const step_t *step = &request->round->steps[request->step];
+	ms_t now = sim_now(cluster->sim);
+	endpoint_load_t told;
+	slots_load_t load;
+
+	if (!request->counted_at)
+		return;
+	slots_load(endpoint->slots, now, &load);
+	told.running = load.running;
+	told.waiting = load.waiting;
+	told.places = load.concurrency;
+	fleet_endpoint_note_load(request->counted_at, now, &told);
+	fleet_endpoint_set_adapter(request->counted_at,
+				   cluster->adapters[step->adapter], VERSION);
+}
+
+void cluster_fleet_ended(request_t *request)
+{
+	if (!request->counted_at)
+		return;
+	fleet_endpoint_end(request->counted_at);
+	g_clear_pointer(&request->counted_at, fleet_endpoint_unref);
+}
+
+void cluster_fleet_dropped(const endpoint_t *endpoint, const char *adapter)
+{
+	const cluster_t *cluster = endpoint->cluster;
+	int i;
+
+	for (i = 0; i < cluster->profile->instances; i++) {
+		fleet_endpoint_t *known =
+			fleet_find(cluster->instances[i].fleet, endpoint->name);
+
+		fleet_endpoint_set_adapter(known, adapter, 0);
+	}
+}
--- a/lib/bench/cluster_owner.c
+++ b/lib/bench/cluster_owner.c
@@ -112,6 +112,7 @@
 	g_assert(cluster->profile->adapters == 0 ||
 		 endpoint->held[slot] == step->adapter);
 	cluster_note_stall(endpoint, request, slot);
+	cluster_fleet_started(endpoint, request);
 	request->started = TRUE;
 	engine_start(endpoint->engine, id, request->round->prefix, step->prompt,
 		     step->answer);
@@ -210,6 +211,7 @@
 	endpoint_t *endpoint = ctx;
 	sim_t *sim = endpoint->cluster->sim;
 
+	cluster_fleet_dropped(endpoint, adapter);
 	sim_at(sim, sim_now(sim) + UNLOAD_MS, unload_done,
 	       work_create(endpoint, slot, adapter), NULL);
 }
--- a/lib/bench/cluster_route.c
+++ b/lib/bench/cluster_route.c
@@ -102,6 +102,8 @@
 	placement_choice_t choice;
 	home_config_t config;
 
+	if (cluster->policy->routing == ROUTE_FLEET)
+		return cluster_fleet_route(cluster, request, adapter);
 	if (cluster->policy->routing != ROUTE_HOME)
 		return route_baseline(cluster, request, adapter);
 	home_config_init(&config);
--- a/lib/bench/cluster_state.h
+++ b/lib/bench/cluster_state.h
@@ -7,6 +7,7 @@
 #include "bench/engine.h"
 #include "bench/sim.h"
 #include "bench/store.h"
+#include "route/fleet.h"
 #include "sched/broker.h"
 #include "sched/home.h"
 #include "sched/placement.h"
@@ -29,6 +30,7 @@
 	gboolean started;
 	gboolean orphan; /* its owner was lost while it ran */
 	gboolean had_first;
+	fleet_endpoint_t *counted_at; /* of ROUTE_FLEET, or NULL */
 } request_t;
 
 typedef struct {
@@ -55,6 +57,8 @@
 	char name[NAME_SIZE];
 	placement_t *table;
 	home_t *home;
+	fleet_t *fleet;	   /* of ROUTE_FLEET */
+	GHashTable *wants; /* adapter to the last time one more was wanted */
 	gboolean is_alive;
 } instance_t;
 
@@ -110,4 +114,17 @@
 void cluster_expect_next(cluster_t *cluster, const request_t *request);
 int cluster_home_of(const cluster_t *cluster, const char *adapter);
 
+/* cluster_fleet.c: what instances know with ROUTE_FLEET; else without effect.
+ */
+fleet_t *cluster_fleet_create(const cluster_t *cluster);
+int cluster_fleet_route(cluster_t *cluster, request_t *request,
+			const char *adapter);
+/* The request's engine told that it goes ahead. */
+void cluster_fleet_started(const endpoint_t *endpoint,
+			   const request_t *request);
+/* The request has left the engine, or never came there. */
+void cluster_fleet_ended(request_t *request);
+/* An adapter is unloaded; engines tell those that used it. */
+void cluster_fleet_dropped(const endpoint_t *endpoint, const char *adapter);
+
 #endif
--- a/lib/bench/policy.h
+++ b/lib/bench/policy.h
@@ -12,6 +12,7 @@
 
 typedef enum {
 	ROUTE_HOME,	  /* placement table and homes */
+	ROUTE_FLEET,	  /* route/fleet.h, as hc-front chooses engines */
 	ROUTE_LEAST_LOAD, /* any endpoint with least load */
 	ROUTE_HASH	  /* fixed hash of the adapter */
 } routing_t;
