route: choose the engines for long prompts when one came or went

Cause: each heartbeat of an engine chose anew which engines are kept for long prompts, by a sort over all engines with two hashes a comparison. On a site of 60 engines and 76 instances that is a part of each instance's processor time, and requests wait for it.

Change: a service is marked when an engine of it came, went or changed, and the engines are chosen at the next request.

--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -73,6 +73,7 @@
 struct fleet {
 	char *failure_domain;
 	GHashTable *endpoints; /* id to fleet_endpoint_t */
+	GHashTable *unmarked;  /* services of which an engine came or went */
 };
 
 fleet_t *fleet_create(const char *failure_domain)
@@ -83,12 +84,15 @@
 	fleet->endpoints =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 				      (GDestroyNotify)fleet_endpoint_unref);
+	fleet->unmarked =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return fleet;
 }
 
 void fleet_destroy(fleet_t *fleet)
 {
 	g_hash_table_destroy(fleet->endpoints);
+	g_hash_table_destroy(fleet->unmarked);
 	g_free(fleet->failure_domain);
 	g_free(fleet);
 }
@@ -148,8 +152,13 @@
 	return weight < other ? 1 : weight > other ? -1 : 0;
 }
 
+static gboolean can_read_long(const fleet_endpoint_t *endpoint)
+{
+	return endpoint->is_usable && endpoint->models;
+}
+
 /* Choose anew which engines of a service are kept for long prompts. */
-static void mark_long(fleet_t *fleet, const char *service)
+static void mark_long(const fleet_t *fleet, const char *service)
 {
 	GPtrArray *list = g_ptr_array_new();
 	GHashTableIter iter;
@@ -164,7 +173,7 @@
 		if (strcmp(endpoint->service, service))
 			continue;
 		endpoint->reads_long = FALSE;
-		if (endpoint->is_usable && endpoint->models)
+		if (can_read_long(endpoint))
 			g_ptr_array_add(list, endpoint);
 	}
 	g_ptr_array_sort(list, by_long_weight);
@@ -180,6 +189,7 @@
 {
 	fleet_endpoint_t *endpoint =
 		g_hash_table_lookup(fleet->endpoints, info->id);
+	gboolean could_read_long;
 
 	if (endpoint && !is_same_incarnation(endpoint, info)) {
 		fleet_remove(fleet, info->id);
@@ -189,26 +199,26 @@
 		endpoint = fleet_endpoint_create(info);
 		g_hash_table_insert(fleet->endpoints, endpoint->id, endpoint);
 	}
+	could_read_long = can_read_long(endpoint);
 	endpoint->is_usable = !info->is_leaving;
 	g_strfreev(endpoint->models);
 	endpoint->models = g_strdupv((char **)info->models);
 	endpoint->places = MAX(info->places, 1);
-	mark_long(fleet, endpoint->service);
+	/* Most of what comes are heartbeats. */
+	if (can_read_long(endpoint) != could_read_long)
+		g_hash_table_add(fleet->unmarked, g_strdup(endpoint->service));
 	return endpoint;
 }
 
 void fleet_remove(fleet_t *fleet, const char *id)
 {
 	fleet_endpoint_t *endpoint = g_hash_table_lookup(fleet->endpoints, id);
-	char *service;
 
 	if (!endpoint)
 		return;
 	endpoint->is_usable = FALSE;
-	service = g_strdup(endpoint->service);
+	g_hash_table_add(fleet->unmarked, g_strdup(endpoint->service));
 	g_hash_table_remove(fleet->endpoints, id);
-	mark_long(fleet, service);
-	g_free(service);
 }
 
 fleet_endpoint_t *fleet_find(const fleet_t *fleet, const char *id)
@@ -522,12 +532,14 @@
 	       (!query->may_load || query->may_load(query->ctx, query->again));
 }
 
-void fleet_choose(const fleet_t *fleet, ms_t now, const fleet_query_t *query,
+void fleet_choose(fleet_t *fleet, ms_t now, const fleet_query_t *query,
 		  fleet_choice_t *choice)
 {
 	GPtrArray *list;
 
 	memset(choice, 0, sizeof(*choice));
+	if (g_hash_table_remove(fleet->unmarked, query->service))
+		mark_long(fleet, query->service);
 	if (may_try_again(query)) {
 		choice->endpoint = query->again;
 		return;
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -134,7 +134,7 @@
 	fleet_endpoint_t *replica;
 } fleet_choice_t;
 
-void fleet_choose(const fleet_t *fleet, ms_t now, const fleet_query_t *query,
+void fleet_choose(fleet_t *fleet, ms_t now, const fleet_query_t *query,
 		  fleet_choice_t *choice);
 
 #endif
--- a/t/unit/test-route.c
+++ b/t/unit/test-route.c
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 
@@ -128,8 +129,8 @@
 	return fleet_set(fleet, &info);
 }
 
-static fleet_choice_t choose(const fleet_t *fleet, ms_t now,
-			     const char *adapter, GPtrArray *tried)
+static fleet_choice_t choose(fleet_t *fleet, ms_t now, const char *adapter,
+			     GPtrArray *tried)
 {
 	fleet_query_t query = {.service = "assist",
 			       .model = "base",
@@ -273,7 +274,7 @@
 	fleet_destroy(fleet);
 }
 
-static fleet_endpoint_t *choose_prompt(const fleet_t *fleet, int number,
+static fleet_endpoint_t *choose_prompt(fleet_t *fleet, int number,
 				       prompt_length_t prompt, GPtrArray *tried)
 {
 	char *adapter = g_strdup_printf("base/a%d", number);
@@ -377,6 +378,33 @@
 	fleet_destroy(fleet);
 }
 
+/* The size in two years, and a beat of each endpoint. */
+#define ENDPOINTS    3400
+#define HEARTBEAT_MS 1200
+/* Of a core, for control. */
+#define CORE_SHARE 0.017
+
+/*
+ * Load: a large fleet whose endpoints write their heartbeats, of which nothing
+ * is new.  Those of one second have to fit into the second's part for control.
+ */
+static void test_heartbeats_of_a_large_fleet(void **state)
+{
+	fleet_t *fleet = fleet_of(ENDPOINTS);
+	int beats = ENDPOINTS * 1000 / HEARTBEAT_MS;
+	clock_t before = clock();
+	int i;
+
+	for (i = 0; i < beats; i++) {
+		char *id = g_strdup_printf("%d", i);
+
+		add_endpoint(fleet, id, 1);
+		g_free(id);
+	}
+	assert_true((double)(clock() - before) < CORE_SHARE * CLOCKS_PER_SEC);
+	fleet_destroy(fleet);
+}
+
 static gboolean never(void *ctx, const fleet_endpoint_t *endpoint)
 {
 	return FALSE;
@@ -470,6 +498,7 @@
 		cmocka_unit_test(test_long_prompts_keep_to_few_engines),
 		cmocka_unit_test(test_kept_engine_helps_under_load),
 		cmocka_unit_test(test_small_fleet_keeps_none),
+		cmocka_unit_test(test_heartbeats_of_a_large_fleet),
 		cmocka_unit_test(test_nothing_can_be_loaded),
 		cmocka_unit_test(test_late_load_is_waited_for),
 	};
