--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -28,6 +28,12 @@
  */
 #define ASK_ANSWER_MS 250
 
+/*
+ * A timer that is later than this shows that this process stood still; chosen:
+ * far above what a busy loop takes.
+ */
+#define OWN_STALL_MS 100
+
 /*
  * A load and the wait for a place are over, or refused, within this time: a
  * want is dropped after 4 s (CACHE_WANT_MS).
@@ -153,8 +159,7 @@
 {
 	if (forward->state != FORWARD_WAITING || !forward->ask)
 		return MS_NEVER;
-	return forward->asked_at +
-	       (forward->is_queued ? ASK_WAIT_MAX_MS : ASK_ANSWER_MS);
+	return forward->ask_due;
 }
 
 /* The engine that was asked for is not to be had: ask for another. */
@@ -193,6 +198,10 @@
 		forward->why = "no answer in time";
 		fleet_endpoint_note_failure(forward->endpoint, now);
 		forward_again(forward, OUTCOME_UNKNOWN, ERROR_TIMEOUT);
+	} else if (now >= ask_ends(forward) + OWN_STALL_MS) {
+		/* Timers come before what has arrived: read that first. */
+		forward->ask_due = now + ASK_ANSWER_MS;
+		forward_set_timer(forward);
 	} else if (now >= ask_ends(forward)) {
 		forward->why = "the engine's holder is silent";
 		if (!forward->is_queued)
@@ -356,6 +365,7 @@
 			   LOAD_WAIT_MAX_MS);
 	forward->state = FORWARD_WAITING;
 	forward->asked_at = now;
+	forward->ask_due = now + ASK_ANSWER_MS;
 	forward->is_queued = FALSE;
 	forward->is_missing = FALSE;
 	forward->ask = adapters_ask(front->adapters, &ask);
@@ -436,6 +446,7 @@
 	if (!forward || forward->state != FORWARD_WAITING)
 		return;
 	forward->is_queued = TRUE;
+	forward->ask_due = forward->asked_at + ASK_WAIT_MAX_MS;
 	forward_set_timer(forward);
 }
 
--- a/lib/front/forward_private.h
+++ b/lib/front/forward_private.h
@@ -55,6 +55,7 @@
 	exchange_t *exchange;
 	char *last_endpoint; /* asked for or sent to, for the log */
 	GPtrArray *tried;    /* fleet_endpoint_t that it does not go to again */
+	ms_t ask_due;	     /* when the wait for its holder is given up */
 	ask_id_t ask;	     /* at the holder of the engine; 0 for none */
 	gboolean is_queued;  /* the holder said that it has to wait */
 	gboolean is_missing; /* the engine lacked the adapter */
