route: keep engines for long prompts only while these come

Cause: one engine in twenty, of six or more, takes no short prompts.

Change: short prompts leave these engines out only in the minute after a long prompt.

Test: test_no_long_prompts_reserve_none fails on the commit before.

--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -55,6 +55,9 @@
 /* A reported load is ignored after this time. */
 #define LOAD_STALE_MS 2000
 
+/* The engines are reserved for this long after a long prompt. */
+#define LONG_ENGINE_RESERVE_MS 60000
+
 struct endpoint {
 	int references;
 	char *id;
@@ -83,6 +86,7 @@
 	GHashTable *endpoints; /* id to fleet_endpoint_t */
 	/* Services whose engines for long prompts must be selected again. */
 	GHashTable *stale_services;
+	ms_t long_prompt_at; /* time of the last long prompt */
 };
 
 fleet_t *fleet_create(const char *failure_domain)
@@ -95,6 +99,7 @@
 				      (GDestroyNotify)fleet_endpoint_unref);
 	fleet->stale_services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fleet->long_prompt_at = -LONG_ENGINE_RESERVE_MS;
 	return fleet;
 }
 
@@ -540,6 +545,7 @@
 	}
 	if (query->prompt == PROMPT_LONG ||
 	    (query->prompt == PROMPT_SHORT &&
+	     now - fleet->long_prompt_at < LONG_ENGINE_RESERVE_MS &&
 	     load_bound(part, now, 1.0) < LONG_ENGINE_LOAD_MAX))
 		choose_engine(fleet, now, part, query, choice);
 	g_ptr_array_free(part, TRUE);
@@ -560,6 +566,8 @@
 	GPtrArray *list;
 
 	memset(choice, 0, sizeof(*choice));
+	if (query->prompt == PROMPT_LONG)
+		fleet->long_prompt_at = now;
 	if (g_hash_table_remove(fleet->stale_services, query->service))
 		select_long_engines(fleet, query->service);
 	if (may_choose_again(query)) {
--- a/t/unit/test-route.c
+++ b/t/unit/test-route.c
@@ -277,8 +277,9 @@
 	fleet_destroy(fleet);
 }
 
-static fleet_endpoint_t *choose_prompt(fleet_t *fleet, int number,
-				       prompt_length_t prompt, GPtrArray *tried)
+static fleet_endpoint_t *choose_prompt_at(fleet_t *fleet, ms_t now, int number,
+					  prompt_length_t prompt,
+					  GPtrArray *tried)
 {
 	char *adapter = g_strdup_printf("base/a%d", number);
 	fleet_query_t query = {.service = "assist",
@@ -288,11 +289,17 @@
 			       .tried = tried};
 	fleet_choice_t choice;
 
-	fleet_choose(fleet, 0, &query, &choice);
+	fleet_choose(fleet, now, &query, &choice);
 	g_free(adapter);
 	return choice.endpoint;
 }
 
+static fleet_endpoint_t *choose_prompt(fleet_t *fleet, int number,
+				       prompt_length_t prompt, GPtrArray *tried)
+{
+	return choose_prompt_at(fleet, 0, number, prompt, tried);
+}
+
 static fleet_t *create_fleet(int count)
 {
 	fleet_t *fleet = fleet_create("a");
@@ -361,6 +368,28 @@
 	fleet_destroy(fleet);
 }
 
+/*
+ * Few slots an engine and prompts that no stream waits long for: no engine
+ * stays empty for long prompts that don't come.
+ */
+static void test_no_long_prompts_reserve_none(void **state)
+{
+	fleet_t *fleet = create_fleet(12);
+	fleet_endpoint_t *reserved = choose_prompt(fleet, 0, PROMPT_LONG, NULL);
+	int used = 0;
+	int i;
+
+	for (i = 0; i < 200; i++)
+		used += choose_prompt_at(fleet, 59000, i, PROMPT_SHORT, NULL) ==
+			reserved;
+	assert_int_equal(used, 0);
+	for (i = 0; i < 200; i++)
+		used += choose_prompt_at(fleet, 60000, i, PROMPT_SHORT, NULL) ==
+			reserved;
+	assert_in_range(used, 5, 40);
+	fleet_destroy(fleet);
+}
+
 /* A fleet of five engines reserves none. */
 static void test_small_fleet_reserves_none(void **state)
 {
@@ -503,6 +532,7 @@
 		cmocka_unit_test(test_hot_adapter_gets_replicas),
 		cmocka_unit_test(test_long_prompts_use_reserved_engine),
 		cmocka_unit_test(test_reserved_engine_under_load),
+		cmocka_unit_test(test_no_long_prompts_reserve_none),
 		cmocka_unit_test(test_small_fleet_reserves_none),
 		cmocka_unit_test(test_heartbeats_of_large_fleet),
 		cmocka_unit_test(test_no_loads_possible),
