hold: let requests wait for a slot in use, and cut queues that stand

Where the queue really is long, all that pass it are late.

Change: - an adapter waits for the first slot that is no longer in use; the wait is estimated from how long adapters are in use, and a long one is refused as 'no slot', so that another engine is asked, three in all; - contention at the store is assumed once loads are late, not before; - while waits have taken half of the goal for some seconds, only requests that can be in time are let in (hold/patience), and none waits for longer; - a prompt is long if it leaves less than 100 ms of the pause that its route allows, in place of a share of it (the same at 250 ms).

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -119,7 +119,8 @@
 	int64_t version;     /* oldest acceptable version */
 	/* The engine answered that the adapter is not resident. */
 	gboolean is_missing;
-	ms_t load_max; /* longest wait for the adapter */
+	ms_t load_max;	/* longest wait for the adapter */
+	ms_t load_goal; /* that with which the answer is still in time */
 	admission_queue_request_t request;
 } admission_t;
 
--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -428,6 +428,7 @@
 		return;
 	}
 	held->endpoint = fleet_endpoint_ref(listed);
+	patience_init(&held->patience, now_of(held->adapters));
 	held->cache = adapter_cache_create(&cache, &cache_actions, held);
 	held->admission_queue = admission_queue_create(
 		&admission_queue, &admission_queue_actions, held);
@@ -492,6 +493,7 @@
 	ms_t now = now_of(adapters);
 	held_admission_t *admission = g_new0(held_admission_t, 1);
 	holder_reply_t reply = {.type = MESSAGE_QUEUED, .admission = id};
+	ms_t slot_wait;
 	ms_t load_wait;
 
 	sync_incarnation(held);
@@ -521,11 +523,22 @@
 	}
 	if (admission->adapter &&
 	    !adapter_cache_version(held->cache, admission->adapter)) {
+		slot_wait = adapter_cache_estimate_slot_wait(
+			held->cache, admission->adapter);
+		if (slot_wait > admission->request.wait_max) {
+			admission_refuse(held, admission, now, REFUSAL_NO_SLOT,
+					 slot_wait);
+			return;
+		}
 		load_wait = adapter_cache_estimate_load_wait(
 			held->cache, admission->adapter);
-		if (load_wait > admission->load_max) {
+		admission->load_max = patience_limit(
+			&held->patience, now, slot_wait + load_wait,
+			request->load_goal, request->load_max);
+		if (slot_wait + load_wait > admission->load_max) {
 			admission_refuse(held, admission, now,
-					 REFUSAL_LOAD_QUEUE_FULL, load_wait);
+					 REFUSAL_LOAD_QUEUE_FULL,
+					 slot_wait + load_wait);
 			return;
 		}
 	}
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -156,6 +156,7 @@
 	admission.request.priority = (int)codec_read_int(reader, 0, G_MAXINT);
 	admission.request.wait_max = codec_read_int(reader, 0, INT64_MAX);
 	admission.load_max = codec_read_int(reader, 0, INT64_MAX);
+	admission.load_goal = codec_read_int(reader, 0, INT64_MAX);
 	if (!codec_read_end(reader) || !engine) {
 		log_malformed(conn_peer_instance(conn));
 	} else {
@@ -426,7 +427,7 @@
 {
 	codec_writer_t writer;
 
-	codec_write_init(&writer, MESSAGE_ADMIT, 9);
+	codec_write_init(&writer, MESSAGE_ADMIT, 10);
 	codec_write_text(&writer, admission->engine);
 	codec_write_text(&writer, admission->adapter);
 	codec_write_int(&writer, id);
@@ -436,6 +437,7 @@
 	codec_write_int(&writer, admission->request.priority);
 	codec_write_int(&writer, admission->request.wait_max);
 	codec_write_int(&writer, admission->load_max);
+	codec_write_int(&writer, admission->load_goal);
 	peers_send(adapters->peers, holder, &writer);
 }
 
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -9,6 +9,7 @@
 #include "front/adapters.h"
 #include "hold/adapter_cache.h"
 #include "hold/engine_locks.h"
+#include "hold/patience.h"
 #include "own/lease.h"
 #include "serve/peers.h"
 #include "serve/ticker.h"
@@ -61,7 +62,8 @@
 	fleet_endpoint_t *endpoint;
 	adapter_cache_t *cache;
 	admission_queue_t *admission_queue;
-	http_call_t *order; /* call in progress, or NULL */
+	patience_t patience; /* of requests that wait for an adapter */
+	http_call_t *order;  /* call in progress, or NULL */
 	http_call_t *report;
 	ms_t ordered_at;
 	gboolean is_down; /* this instance can't connect to it */
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -14,7 +14,7 @@
  * Engines at which admission is requested before the request is refused.  More
  * than one, as another engine may still have a place when demand is high.
  */
-#define ADMISSION_TRIES_MAX 5
+#define ADMISSION_TRIES_MAX 3
 
 /* Times that endpoints may lack an adapter that was presumed resident. */
 #define ADAPTER_MISSES_MAX 4
@@ -53,12 +53,11 @@
 #define PLACE_WAIT_SHORT_MS 150
 
 /*
- * Share of the longest pause allowed in a stream above which a prompt counts as
- * long.  The rest is for the tokens of one event, and for the part of the
- * prompt's time that grows with the square of its length: 35 ms and up to 40 ms
- * of 250 ms, by the users' figures.
+ * A prompt is long if its reading takes the pause that its route allows less
+ * this reserve: for the tokens of one event, and for the part of the time that
+ * grows with the square of the prompt's length.
  */
-#define LONG_PROMPT_PAUSE_SHARE 0.6
+#define LONG_PROMPT_RESERVE_MS 100
 
 /*
  * A long prompt may wait for 1/2 of the goal at the engine reserved for long
@@ -336,8 +335,8 @@
 
 	if (!forward->route->pause)
 		return PROMPT_ANY;
-	return prefill_time > LONG_PROMPT_PAUSE_SHARE *
-				       (double)forward->route->pause
+	return prefill_time > (double)(forward->route->pause -
+				       LONG_PROMPT_RESERVE_MS)
 		       ? PROMPT_LONG
 		       : PROMPT_SHORT;
 }
@@ -380,6 +379,10 @@
 	admission.load_max =
 		MIN((forward->deadline_at - now) / LOAD_WAIT_DIVISOR,
 		    LOAD_WAIT_MAX_MS);
+	admission.load_goal =
+		MAX(forward->route->goal - GOAL_RESERVE_MS -
+			    (now - call_arrived_at(forward->call)),
+		    PLACE_WAIT_MIN_MS);
 	forward->state = FORWARD_WAITING;
 	forward->admission_sent_at = now;
 	forward->admission_due = now + HOLDER_REPLY_TIMEOUT_MS;
--- a/lib/hold/adapter_cache.c
+++ b/lib/hold/adapter_cache.c
@@ -2,6 +2,12 @@
 
 #include <string.h>
 
+/*
+ * Weight of the newest use in the moving average of the times that adapters are
+ * in use; about the last twenty count.
+ */
+#define USE_TIME_WEIGHT 0.05
+
 adapter_cache_t *adapter_cache_create(const cache_options_t *options,
 				      const cache_actions_t *actions, void *ctx)
 {
@@ -10,7 +16,7 @@
 	cache->actions = *actions;
 	cache->ctx = ctx;
 	cache->options = *options;
-	cache->contention = 1;
+	cache->mean_use_time = CACHE_INITIAL_USE_MS;
 	cache->recent = g_queue_new();
 	cache->table = g_hash_table_new(g_str_hash, g_str_equal);
 	TAILQ_INIT(&cache->entries);
@@ -42,7 +48,7 @@
 	cache->options.slot_count = options->slot_count;
 }
 
-static GList *find_recent(const adapter_cache_t *cache, const char *adapter)
+GList *cache_find_recent(const adapter_cache_t *cache, const char *adapter)
 {
 	return g_queue_find_custom(cache->recent, adapter,
 				   (GCompareFunc)strcmp);
@@ -50,7 +56,7 @@
 
 void cache_remember_recent(adapter_cache_t *cache, const char *adapter)
 {
-	GList *node = find_recent(cache, adapter);
+	GList *node = cache_find_recent(cache, adapter);
 
 	if (node) {
 		g_queue_unlink(cache->recent, node);
@@ -64,8 +70,8 @@
 
 static ms_t *load_time(adapter_cache_t *cache, const char *adapter)
 {
-	return find_recent(cache, adapter) ? &cache->options.again_time
-					   : &cache->options.load_time;
+	return cache_find_recent(cache, adapter) ? &cache->options.again_time
+						 : &cache->options.load_time;
 }
 
 entry_t *cache_entry_get(adapter_cache_t *cache, const char *adapter)
@@ -140,8 +146,7 @@
 	cache_entry_free_if_unused(cache, entry);
 }
 
-/* The factor by which concurrent loads of this engine slow each other down. */
-static double slowdown(const adapter_cache_t *cache, int loading)
+double cache_slowdown(const adapter_cache_t *cache, int loading)
 {
 	double concurrency = loading / cache->options.loads_per_engine;
 
@@ -163,39 +168,12 @@
 		*load_time(cache, entry->adapter) += CACHE_LATE_RECHECK_MS / 4;
 }
 
-/*
- * CACHE_LOADS_MAX loads run at once, so each load ahead adds that fraction of
- * one load's time.
- */
-ms_t adapter_cache_estimate_load_wait(const adapter_cache_t *cache,
-				      const char *adapter)
-{
-	const cache_options_t *options = &cache->options;
-	const entry_t *entry;
-	ms_t time_per_load =
-		(ms_t)((double)options->load_time *
-		       slowdown(cache, CACHE_LOADS_MAX) / CACHE_LOADS_MAX);
-	ms_t wait = 0;
-
-	if (find_recent(cache, adapter))
-		return options->again_time;
-	TAILQ_FOREACH (entry, &cache->entries, link) {
-		gboolean is_ahead =
-			entry->state == STATE_LOADING ||
-			(entry->is_requested && entry->state == STATE_ABSENT);
-
-		if (is_ahead && !find_recent(cache, entry->adapter) &&
-		    strcmp(entry->adapter, adapter))
-			wait += time_per_load;
-	}
-	return wait + options->load_time;
-}
-
 void adapter_cache_use(adapter_cache_t *cache, ms_t now, const char *adapter)
 {
 	entry_t *entry = cache_entry_get(cache, adapter);
 
-	entry->uses++;
+	if (!entry->uses++)
+		entry->in_use_since = now;
 	entry->used_at = now;
 }
 
@@ -205,8 +183,11 @@
 	entry_t *entry = g_hash_table_lookup(cache->table, adapter);
 
 	g_assert(entry && entry->uses > 0);
-	entry->uses--;
 	entry->used_at = now;
+	if (!--entry->uses)
+		cache->mean_use_time +=
+			USE_TIME_WEIGHT * ((double)(now - entry->in_use_since) -
+					   cache->mean_use_time);
 	cache_entry_free_if_unused(cache, entry);
 }
 
@@ -233,8 +214,8 @@
 	gboolean was_usable;
 
 	/* A fast reload would bring back the older version. */
-	if (find_recent(cache, adapter)) {
-		GList *node = find_recent(cache, adapter);
+	if (cache_find_recent(cache, adapter)) {
+		GList *node = cache_find_recent(cache, adapter);
 
 		g_free(node->data);
 		g_queue_delete_link(cache->recent, node);
@@ -264,11 +245,11 @@
 	ms_t usual = *load_time(cache, entry->adapter);
 	int loading = count_loading(cache);
 
-	entry->is_contended = !find_recent(cache, entry->adapter) &&
+	entry->is_contended = !cache_find_recent(cache, entry->adapter) &&
 			      loading > cache->options.loads_per_engine;
 	if (!entry->is_contended)
 		return usual;
-	return (ms_t)((double)usual * slowdown(cache, loading));
+	return (ms_t)((double)usual * cache_slowdown(cache, loading));
 }
 
 static void apply_order(adapter_cache_t *cache, ms_t now)
--- a/lib/hold/adapter_cache.h
+++ b/lib/hold/adapter_cache.h
@@ -20,17 +20,18 @@
  *  - dropped() is called before each order that removes a usable adapter.
  *
  * The least recently used adapter that is not in use is evicted.  If there is
- * none, the request is refused.
+ * none, requests wait for the first slot whose adapter is no longer in use, the
+ * oldest request first.  The wait is estimated from how long adapters are in
+ * use without a break.
  *
  * Reports of the engine are some hundred ms old.  So an adapter is presumed to
  * be usable once the expected time of its load has passed;
  * adapter_cache_note_missing() corrects that if the engine disagrees.
  *
  * Concurrent loads share the weight store with those of all other engines,
- * whose loads are not visible here.  The contention they cause is estimated: at
- * first the other engines are assumed to load as much as this one.  A load that
- * a report shows complete before its expected time lowers the estimate, and a
- * load that is late raises it.
+ * whose loads are not visible here.  The contention they cause is estimated, at
+ * first as none.  A load that is late raises the estimate, and one that a
+ * report shows complete before its expected time lowers it.
  *
  * No I/O and no clock: the time is an argument of each call, and actions are
  * callbacks, which must not call back into the cache.  Adapter names are
@@ -88,6 +89,9 @@
 #define CACHE_CONTENTION_DECAY 0.7
 #define CACHE_CONTENTION_STEP  0.25
 
+/* The initial estimate of how long an adapter is in use without a break. */
+#define CACHE_INITIAL_USE_MS 1500
+
 typedef struct adapter_cache adapter_cache_t;
 
 typedef enum {
@@ -166,8 +170,15 @@
 void adapter_cache_cancel(adapter_cache_t *cache, const char *adapter);
 
 /*
- * Estimates the time until a load of the adapter, requested now, is complete:
- * its place in the queue and the load itself.
+ * Estimates the time until a slot is available for the adapter; 0 if one is, or
+ * if the adapter has its slot.
+ */
+ms_t adapter_cache_estimate_slot_wait(const adapter_cache_t *cache,
+				      const char *adapter);
+
+/*
+ * Estimates the time that a load of the adapter, requested now, takes once
+ * there is a slot: its place in the queue and the load itself.
  */
 ms_t adapter_cache_estimate_load_wait(const adapter_cache_t *cache,
 				      const char *adapter);
--- a/lib/hold/adapter_cache_order.c
+++ b/lib/hold/adapter_cache_order.c
@@ -60,8 +60,11 @@
 	}
 }
 
-/* The oldest request that needs a load order. */
-static entry_t *next_request(const adapter_cache_t *cache)
+/*
+ * The oldest request that needs a load order.  Without a slot, only those for a
+ * newer version count: it replaces the older one in its slot.
+ */
+static entry_t *next_request(const adapter_cache_t *cache, gboolean has_slot)
 {
 	entry_t *best = NULL;
 	entry_t *entry;
@@ -71,6 +74,8 @@
 		    entry->state == STATE_LOADING ||
 		    entry->state == STATE_UNLOADING)
 			continue;
+		if (!has_slot && entry->state != STATE_RESIDENT)
+			continue;
 		if (!best || entry->requested_since < best->requested_since)
 			best = entry;
 	}
@@ -125,24 +130,19 @@
 	send_order(cache);
 }
 
-static void evict_lru(adapter_cache_t *cache, ms_t now, entry_t *for_entry)
+static void evict(adapter_cache_t *cache, entry_t *victim)
 {
-	entry_t *victim = lru_victim(cache);
-
-	if (!victim) {
-		if (!is_unloading(cache))
-			refuse(cache, for_entry);
-		return;
-	}
 	if (cache_is_usable(victim))
 		cache->actions.dropped(cache->ctx, victim->adapter);
 	victim->state = STATE_UNLOADING;
 	start_order(cache, CACHE_ORDER_UNLOAD, victim);
 }
 
-static void send_next_order(adapter_cache_t *cache, ms_t now)
+static void send_next_order(adapter_cache_t *cache)
 {
+	entry_t *victim;
 	entry_t *entry;
+	gboolean is_full;
 	int loading;
 	int used;
 
@@ -152,20 +152,18 @@
 		start_order(cache, CACHE_ORDER_LOAD_MODEL, NULL);
 		return;
 	}
-	entry = next_request(cache);
-	if (!entry)
-		return;
 	used = slots_used(cache, &loading);
-	if (loading >= CACHE_LOADS_MAX)
+	is_full = used >= cache->options.slot_count;
+	victim = is_full ? lru_victim(cache) : NULL;
+	entry = next_request(cache, !is_full || victim);
+	if (!entry || loading >= CACHE_LOADS_MAX)
 		return;
-	/* A newer version replaces the older one in its slot. */
-	if (entry->state == STATE_RESIDENT ||
-	    used < cache->options.slot_count) {
+	if (entry->state == STATE_RESIDENT || !is_full) {
 		g_assert(used <= cache->options.slot_count ||
 			 entry->state == STATE_RESIDENT);
 		start_order(cache, CACHE_ORDER_LOAD, entry);
 	} else {
-		evict_lru(cache, now, entry);
+		evict(cache, victim);
 	}
 }
 
@@ -217,5 +215,5 @@
 			send_order(cache);
 		return;
 	}
-	send_next_order(cache, now);
+	send_next_order(cache);
 }
--- a/lib/hold/adapter_cache_private.h
+++ b/lib/hold/adapter_cache_private.h
@@ -22,7 +22,8 @@
 	int64_t requested_version; /* the oldest acceptable version */
 	gboolean is_requested;
 	ms_t requested_since;
-	int uses; /* requests in progress that use the adapter */
+	int uses;	   /* requests in progress that use the adapter */
+	ms_t in_use_since; /* since when there is one */
 	ms_t used_at;
 	int64_t loading_version;
 	ms_t ready_at;	       /* expected completion of a load */
@@ -45,7 +46,8 @@
 	 * nothing, 1 if each loads as much as this one.
 	 */
 	double contention;
-	gboolean has_report; /* a report was handled */
+	double mean_use_time; /* of an adapter without a break, in ms */
+	gboolean has_report;  /* a report was handled */
 	gboolean has_model;
 	gboolean is_busy;
 	int64_t sequence; /* orders that the engine has accepted */
@@ -75,6 +77,10 @@
 void cache_entry_free_if_unused(adapter_cache_t *cache, entry_t *entry);
 /* Whether the adapter is resident in an acceptable version. */
 gboolean cache_is_usable(const entry_t *entry);
+/* Returns the node of an adapter that can be reloaded fast, or NULL. */
+GList *cache_find_recent(const adapter_cache_t *cache, const char *adapter);
+/* The factor by which concurrent loads of this engine slow each other down. */
+double cache_slowdown(const adapter_cache_t *cache, int loading);
 void cache_remember_recent(adapter_cache_t *cache, const char *adapter);
 void cache_entry_set_resident(adapter_cache_t *cache, ms_t now, entry_t *entry,
 			      int64_t version);
