--- a/lib/hold/engine_locks.c
+++ b/lib/hold/engine_locks.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/hash.h"
+
 #include "own/assign.h"
 
 typedef struct {
@@ -298,6 +300,26 @@
 	return TRUE;
 }
 
+/*
+ * Returns how many live instances precede this one in the succession to the
+ * engine's lock.
+ */
+static guint succession_rank(const engine_locks_t *engine_locks,
+			     const char *engine)
+{
+	uint64_t own = hash_rendezvous(engine, engine_locks->instance);
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+	guint rank = 0;
+
+	g_hash_table_iter_init(&iter, engine_locks->instances);
+	while (g_hash_table_iter_next(&iter, &name, &value))
+		rank += ((const instance_t *)value)->lease &&
+			hash_rendezvous(engine, name) > own;
+	return rank;
+}
+
 static gboolean should_acquire(const engine_locks_t *engine_locks, ms_t now,
 			       const engine_t *engine, GHashTable **assigned)
 {
@@ -312,7 +334,10 @@
 	if (now < engine_locks->startup_ends_at ||
 	    !is_orphan(engine_locks, now, engine, &age))
 		return FALSE;
-	if (age >= ENGINE_LOCKS_ORPHAN_MS)
+	if (age >= ENGINE_LOCKS_ORPHAN_MS &&
+	    age - ENGINE_LOCKS_ORPHAN_MS >=
+		    ENGINE_LOCKS_SUCCESSION_MS *
+			    (ms_t)succession_rank(engine_locks, engine->id))
 		return TRUE;
 	/* A restarted process of the holder acquires its locks itself. */
 	holder = g_hash_table_lookup(engine_locks->instances, engine->holder);
--- a/lib/hold/engine_locks.h
+++ b/lib/hold/engine_locks.h
@@ -19,8 +19,9 @@
  * held the lock in between, the record would name it.
  *
  * A lock without a holder is acquired by the instance to which
- * assign_endpoints() assigns the engine, or by any instance after
- * ENGINE_LOCKS_ORPHAN_MS.
+ * assign_endpoints() assigns the engine.  If it does not acquire it, the others
+ * follow one after the other in the order of a rendezvous hash, from
+ * ENGINE_LOCKS_ORPHAN_MS on, so that a large fleet does not write all at once.
  *
  * No I/O and no clock: the time is an argument of each call, and actions are
  * callbacks, which must not call back.
@@ -32,11 +33,14 @@
 #include "base/clock.h"
 
 /*
- * Delay until any instance may acquire a lock that the assigned instance has
- * not acquired: about the lease's TTL.
+ * Delay until the first other instance may acquire a lock that the assigned
+ * instance has not acquired: about the lease's TTL.
  */
 #define ENGINE_LOCKS_ORPHAN_MS 2000
 
+/* Delay between one such instance and the next: a poll and a write. */
+#define ENGINE_LOCKS_SUCCESSION_MS 1000
+
 /*
  * Delay after the start of an instance until it acquires locks that it did not
  * hold before, so that all live instances are known: one poll interval of the
--- a/t/unit/test-engine-locks.c
+++ b/t/unit/test-engine-locks.c
@@ -165,6 +165,50 @@
 	engine_locks_destroy(one.engine_locks);
 }
 
+#define FLEET 195
+
+/*
+ * The updates of a large fleet reach the instances late, so that the engine
+ * looks orphaned to all at once: they do not all write to the store.
+ */
+static void test_succession_in_large_fleet(void **state)
+{
+	process_t processes[FLEET];
+	ms_t now = AFTER_STARTUP + ENGINE_LOCKS_ORPHAN_MS;
+	int takes = 0;
+	int i;
+	int j;
+
+	for (i = 0; i < FLEET; i++) {
+		char *name = g_strdup_printf("front-%d", i);
+
+		process_create(&processes[i], name);
+		engine_locks_set_lease(processes[i].engine_locks, 0, i + 1);
+		for (j = 0; j < FLEET; j++) {
+			char *other = g_strdup_printf("front-%d", j);
+
+			engine_locks_set_instance(processes[i].engine_locks, 0,
+						  other, j + 1);
+			g_free(other);
+		}
+		engine_locks_set_engine(processes[i].engine_locks, 0, "e",
+					TRUE);
+		engine_locks_tick(processes[i].engine_locks, now, VALID_UNTIL);
+		takes += processes[i].take_count;
+		g_free(name);
+	}
+	assert_in_range(takes, 1, 2);
+	/* If none of them gets the lock, others follow. */
+	now += 5 * ENGINE_LOCKS_SUCCESSION_MS;
+	for (i = 0, takes = 0; i < FLEET; i++) {
+		engine_locks_tick(processes[i].engine_locks, now, VALID_UNTIL);
+		takes += processes[i].take_count;
+	}
+	assert_in_range(takes, 5, 7);
+	for (i = 0; i < FLEET; i++)
+		engine_locks_destroy(processes[i].engine_locks);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -172,6 +216,7 @@
 		cmocka_unit_test(test_successor_waits),
 		cmocka_unit_test(test_released),
 		cmocka_unit_test(test_restarted_holder),
+		cmocka_unit_test(test_succession_in_large_fleet),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
