front: do not add to a deadline that is never

Change: the time since the deadline is compared, once it has passed. The branch is a function of its own.

--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -185,6 +185,24 @@
 		forward_refuse(forward, RETRY_FULL_MS);
 }
 
+static void on_admission_overdue(forward_t *forward, ms_t now)
+{
+	/*
+	 * libuv runs timers before it polls for I/O, so after a stall of this
+	 * process a reply that has arrived is not read yet: allow for that.
+	 */
+	if (now - forward->admission_due >= OWN_STALL_MS) {
+		forward->admission_due = now + HOLDER_REPLY_TIMEOUT_MS;
+		forward_set_timer(forward);
+		return;
+	}
+	forward->failure_reason = "the engine's holder is silent";
+	if (!forward->is_queued)
+		adapters_note_holder_timeout(forward->front->adapters,
+					     forward->admission);
+	try_other_endpoint(forward);
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	forward_t *forward = timer->data;
@@ -199,19 +217,8 @@
 			"no answer within the attempt timeout";
 		fleet_endpoint_note_failure(forward->endpoint, now);
 		forward_retry(forward, OUTCOME_UNKNOWN, ERROR_TIMEOUT);
-	} else if (now >= admission_deadline(forward) + OWN_STALL_MS) {
-		/*
-		 * libuv runs timers before it polls for I/O, so a reply that
-		 * has arrived is not read yet: allow for that.
-		 */
-		forward->admission_due = now + HOLDER_REPLY_TIMEOUT_MS;
-		forward_set_timer(forward);
 	} else if (now >= admission_deadline(forward)) {
-		forward->failure_reason = "the engine's holder is silent";
-		if (!forward->is_queued)
-			adapters_note_holder_timeout(forward->front->adapters,
-						     forward->admission);
-		try_other_endpoint(forward);
+		on_admission_overdue(forward, now);
 	} else {
 		forward_set_timer(forward);
 	}
