front, hold: fewer polls at a start, broadcasts by the own link

Links differ: 20 to 200 Mbit/s here, 1,000 on the first sites.

Change: the interval of the first polls doubles, from 150 ms to the usual one; the decision moves from platform/ to hold/relay. The limit of a broadcast is 200 ms of the instance's own link, which the platform tells (link_mbps).

The platform's figures may be fractions: the settings made from them are read as numbers (SETTING_NUMBER). repeat_slack was a whole number, and hc-front did not start where it is not, as in small twins of large sites.

--- a/lib/base/settings.c
+++ b/lib/base/settings.c
@@ -128,6 +128,27 @@
 	return TRUE;
 }
 
+static gboolean parse_number(const char *file, const setting_t *setting,
+			     JsonNode *node, GError **error)
+{
+	double value;
+
+	if (!is_of_type(node, G_TYPE_INT64) && !is_of_type(node, G_TYPE_DOUBLE))
+		return set_type_error(file, setting, "a number", error);
+	value = json_node_get_double(node);
+	if ((setting->min || setting->max) &&
+	    !(value >= (double)setting->min && value <= (double)setting->max)) {
+		error_set(error, ERROR_INVALID,
+			  "%s: setting '%s' is %g; give a value from "
+			  "%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+			  file, setting->name, value, setting->min,
+			  setting->max);
+		return FALSE;
+	}
+	*(double *)setting->value = value;
+	return TRUE;
+}
+
 static gboolean parse_list(const char *file, const setting_t *setting,
 			   JsonNode *node, GError **error)
 {
@@ -170,6 +191,8 @@
 		return TRUE;
 	case SETTING_INT:
 		return parse_int(file, setting, node, error);
+	case SETTING_NUMBER:
+		return parse_number(file, setting, node, error);
 	case SETTING_LIST:
 		return parse_list(file, setting, node, error);
 	}
--- a/lib/base/settings.h
+++ b/lib/base/settings.h
@@ -19,10 +19,11 @@
 #include <stdint.h>
 
 typedef enum {
-	SETTING_TEXT, /* value points at a char *, owned by the caller */
-	SETTING_INT,  /* value points at an int64_t */
-	SETTING_BOOL, /* value points at a gboolean */
-	SETTING_LIST  /* value points at a char **, NULL-terminated */
+	SETTING_TEXT,	/* value points at a char *, owned by the caller */
+	SETTING_INT,	/* value points at an int64_t */
+	SETTING_NUMBER, /* value points at a double; may have a fraction */
+	SETTING_BOOL,	/* value points at a gboolean */
+	SETTING_LIST	/* value points at a char **, NULL-terminated */
 } setting_type_t;
 
 typedef struct {
@@ -30,7 +31,7 @@
 	setting_type_t type;
 	void *value;
 	const char *fallback; /* default, as in the file; NULL if required */
-	int64_t min;	      /* for SETTING_INT; unchecked if both are 0 */
+	int64_t min; /* of both kinds of numbers; unchecked if both are 0 */
 	int64_t max;
 } setting_t;
 
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -1,5 +1,6 @@
 #include "front/front.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <sys/stat.h>
 #include <string.h>
@@ -38,6 +39,8 @@
  */
 #define DESCRIPTORS_RESERVED 600
 
+#define BYTES_PER_S_OF_MBPS (1e6 / 8)
+
 /* Largest request body at the ready and metrics ports. */
 #define STATUS_BODY_MAX 4096
 
@@ -60,23 +63,23 @@
 		 65535},
 		{"descriptors", SETTING_INT, &settings->descriptors, "4096",
 		 1000, 1000000},
-		{"grace_s", SETTING_INT, &settings->grace_s, "8", 4, 600},
-		{"order_gap_ms", SETTING_INT, &settings->order_gap_ms, "3000",
-		 0, 600000},
+		{"grace_s", SETTING_NUMBER, &settings->grace_s, "8", 4, 600},
+		{"order_gap_ms", SETTING_NUMBER, &settings->order_gap_ms,
+		 "3000", 0, 600000},
 		{"lease_ttl_ms", SETTING_INT, &settings->lease_ttl_ms, "2000",
 		 1000, 600000},
-		{"lease_ttl_min_ms", SETTING_INT, &settings->lease_ttl_min_ms,
-		 "1000", 1, 600000},
-		{"config_ms", SETTING_INT, &settings->config_ms, "2000", 100,
+		{"lease_ttl_min_ms", SETTING_NUMBER,
+		 &settings->lease_ttl_min_ms, "1000", 1, 600000},
+		{"config_ms", SETTING_NUMBER, &settings->config_ms, "2000", 100,
 		 600000},
-		{"drain_ms", SETTING_INT, &settings->drain_ms, "2000", 100,
+		{"drain_ms", SETTING_NUMBER, &settings->drain_ms, "2000", 100,
 		 600000},
 		{"repeat_share", SETTING_TEXT, &settings->repeat_share, "0.1",
 		 0, 0},
-		{"repeat_window_s", SETTING_INT, &settings->repeat_window_s,
+		{"repeat_window_s", SETTING_NUMBER, &settings->repeat_window_s,
 		 "10", 1, 3600},
-		{"repeat_slack", SETTING_INT, &settings->repeat_slack, "10", 0,
-		 1000000},
+		{"repeat_slack", SETTING_NUMBER, &settings->repeat_slack, "10",
+		 0, 1000000},
 		{"adapter_load_ms", SETTING_INT, &settings->adapter_load_ms,
 		 "250", 1, 60000},
 		{"adapter_again_ms", SETTING_INT, &settings->adapter_again_ms,
@@ -85,6 +88,8 @@
 		 &settings->adapter_loads_percent, "67", 1, 10000},
 		{"prefill_per_s", SETTING_INT, &settings->prefill_per_s,
 		 "38700", 1, 100000000},
+		{"link_mbps", SETTING_NUMBER, &settings->link_mbps, "10", 1,
+		 1000000},
 		{"log_lines_max", SETTING_INT, &settings->log_lines_max, "200",
 		 1, 100000},
 		{NULL, SETTING_INT, NULL, NULL, 0, 0}};
@@ -270,8 +275,8 @@
 static gboolean create_budget(front_t *front, GError **error)
 {
 	retry_budget_options_t options = {
-		.slack = (double)front->settings.repeat_slack,
-		.window = front->settings.repeat_window_s * MS_PER_S,
+		.slack = front->settings.repeat_slack,
+		.window = (ms_t)(front->settings.repeat_window_s * MS_PER_S),
 	};
 	char *end;
 
@@ -289,9 +294,21 @@
 
 static ms_t gather_time(const front_t *front)
 {
-	ms_t bound = MIN(front->settings.config_ms, front->settings.drain_ms);
+	double bound = MIN(front->settings.config_ms, front->settings.drain_ms);
+
+	return (ms_t)(bound * POLL_INTERVAL_PERCENT / 100);
+}
+
+static relay_t *create_relay(const front_t *front)
+{
+	relay_options_t options = {
+		.instance = process_settings(front->process)->instance,
+		.poll_time = gather_time(front),
+		.link_bytes_per_s =
+			front->settings.link_mbps * BYTES_PER_S_OF_MBPS,
+	};
 
-	return bound * POLL_INTERVAL_PERCENT / 100;
+	return relay_create(&options);
 }
 
 static gboolean create_store(front_t *front, GError **error)
@@ -300,7 +317,7 @@
 		.loop = process_loop(front->process),
 		.clock = front->clock,
 		.rand = front->rand,
-		.gather_time = gather_time(front),
+		.poll_interval = front_poll_interval,
 		.may_skip = front_may_skip_poll,
 		.on_polled = front_on_polled,
 		.on_contact = front_on_store_contact,
@@ -342,9 +359,9 @@
 		.listen_address = settings->address,
 		.listen_port = (int)settings->owner_port,
 		.peer_address = front->settings.peer_address,
-		.order_gap = front->settings.order_gap_ms,
+		.order_gap = (ms_t)ceil(front->settings.order_gap_ms),
 		.lease_ttl = MAX(front->settings.lease_ttl_ms,
-				 front->settings.lease_ttl_min_ms),
+				 (ms_t)ceil(front->settings.lease_ttl_min_ms)),
 		.load_time = front->settings.adapter_load_ms,
 		.again_time = front->settings.adapter_again_ms,
 		.loads_per_engine =
@@ -403,8 +420,7 @@
 	front->replica_requests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	front->updates = kv_items_create();
-	front->relay = relay_create(process_settings(process)->instance,
-				    gather_time(front));
+	front->relay = create_relay(front);
 	front->admissions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  g_free, NULL);
 	create_metrics(front);
@@ -433,7 +449,8 @@
 {
 	front_t *front = timer->data;
 	ms_t passed = ms_clock_now(front->clock) - front->stopped_at;
-	ms_t grace = front->settings.grace_s * MS_PER_S - GRACE_MARGIN_MS;
+	ms_t grace =
+		(ms_t)(front->settings.grace_s * MS_PER_S) - GRACE_MARGIN_MS;
 	gboolean is_done = !callers_active(front->callers) &&
 			   adapters_is_stopped(front->adapters);
 
--- a/lib/front/front_items.c
+++ b/lib/front/front_items.c
@@ -226,6 +226,11 @@
 	broadcast_updates(front);
 }
 
+ms_t front_poll_interval(void *ctx)
+{
+	return relay_poll_interval(((front_t *)ctx)->relay);
+}
+
 gboolean front_may_skip_poll(void *ctx, ms_t last)
 {
 	front_t *front = ctx;
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -32,20 +32,20 @@
 	char *peer_address;
 	int64_t metrics_port;
 	int64_t descriptors; /* open file limit that the process may use */
-	int64_t grace_s;     /* from SIGTERM to the end of the process */
+	double grace_s;	     /* from SIGTERM to the end of the process */
 	/* Minimum time between the orders of two holders to one engine. */
-	int64_t order_gap_ms;
+	double order_gap_ms;
 	int64_t lease_ttl_ms;
 	/* Shortest TTL that the store grants. */
-	int64_t lease_ttl_min_ms;
+	double lease_ttl_min_ms;
 	/* Time within which a new configuration has to be in force. */
-	int64_t config_ms;
+	double config_ms;
 	/* Time after which a leaving endpoint must not get new requests. */
-	int64_t drain_ms;
+	double drain_ms;
 	/* Repeats as a share of the requests for a service. */
 	char *repeat_share;
-	int64_t repeat_window_s;
-	int64_t repeat_slack;
+	double repeat_window_s;
+	double repeat_slack;
 	/* Time to load an adapter from the weight store. */
 	int64_t adapter_load_ms;
 	/* Time to load an adapter that the engine held recently. */
@@ -56,6 +56,7 @@
 	 */
 	int64_t adapter_loads_percent;
 	int64_t prefill_per_s; /* prompt tokens an engine processes */
+	double link_mbps;      /* bandwidth of the instance's own link */
 	int64_t log_lines_max; /* per second, for one event */
 } front_settings_t;
 
@@ -114,6 +115,8 @@
  * tells the others that they need no poll.
  */
 void front_on_polled(void *ctx, int64_t revision);
+/* Returns the time until the next poll. */
+ms_t front_poll_interval(void *ctx);
 /*
  * Returns whether a poll may be skipped because another instance sends the
  * changes.
--- a/lib/hold/relay.c
+++ b/lib/hold/relay.c
@@ -10,6 +10,8 @@
 struct relay {
 	char *instance;
 	ms_t poll_time;
+	ms_t next_interval;	/* up to poll_time */
+	double broadcast_max;	/* bytes to all instances together */
 	GHashTable *alive;	/* names of live instances */
 	int64_t known_revision; /* all updates up to it are known */
 	int64_t sent_up_to;	/* end of the last broadcast */
@@ -18,12 +20,15 @@
 	ms_t received_at;    /* time of the last broadcast without a gap */
 };
 
-relay_t *relay_create(const char *instance, ms_t poll_time)
+relay_t *relay_create(const relay_options_t *options)
 {
 	relay_t *relay = g_new0(relay_t, 1);
 
-	relay->instance = g_strdup(instance);
-	relay->poll_time = poll_time;
+	relay->instance = g_strdup(options->instance);
+	relay->poll_time = options->poll_time;
+	relay->next_interval = MIN(RELAY_FIRST_POLL_MS, options->poll_time);
+	relay->broadcast_max =
+		options->link_bytes_per_s * RELAY_BROADCAST_MAX_MS / MS_PER_S;
 	relay->alive =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return relay;
@@ -66,25 +71,32 @@
 
 void relay_note_full_read(relay_t *relay, int64_t revision)
 {
-	relay_note_poll(relay, revision);
+	relay->known_revision = MAX(relay->known_revision, revision);
 	relay->sent_up_to = relay->known_revision;
 }
 
 void relay_note_poll(relay_t *relay, int64_t revision)
 {
 	relay->known_revision = MAX(relay->known_revision, revision);
+	relay->next_interval = MIN(2 * relay->next_interval, relay->poll_time);
+}
+
+ms_t relay_poll_interval(const relay_t *relay)
+{
+	return relay->next_interval;
 }
 
 gboolean relay_prepare_broadcast(relay_t *relay, size_t size, int64_t *from,
 				 int64_t *to)
 {
-	size_t total_size = size * g_hash_table_size(relay->alive);
+	double total_size =
+		(double)size * (double)g_hash_table_size(relay->alive);
 	gboolean is_poller = relay_is_poller(relay);
 	gboolean must_send = is_poller || relay->was_poller;
 
 	relay->was_poller = is_poller;
-	*from = total_size > RELAY_BROADCAST_MAX_BYTES ? relay->known_revision
-						       : relay->sent_up_to;
+	*from = total_size > relay->broadcast_max ? relay->known_revision
+						  : relay->sent_up_to;
 	*to = relay->known_revision;
 	relay->sent_up_to = relay->known_revision;
 	return must_send;
--- a/lib/hold/relay.h
+++ b/lib/hold/relay.h
@@ -25,6 +25,9 @@
  * then covers an empty range that starts after them, so that each of the others
  * notices the gap and polls.
  *
+ * After a start many changes arrive that others wait for, so the first polls
+ * follow each other faster, each after twice the time of the one before.
+ *
  * No I/O and no clock: the time is an argument of each call.
  */
 
@@ -52,17 +55,24 @@
  */
 #define RELAY_SKIPPED_POLLS_MAX 16
 
+/* The interval of the first polls after a start. */
+#define RELAY_FIRST_POLL_MS 150
+
 /*
- * Limit on the bytes of one broadcast to all instances together: a fifth of a
- * second of the slowest link of any site, 10 Mbit/s.  A configuration of 1,050
- * routes sent to 75 instances occupied that link for ten seconds.
+ * Limit on the time for which one broadcast to all instances may occupy the
+ * sender's link.
  */
-#define RELAY_BROADCAST_MAX_BYTES ((size_t)256 * 1024)
+#define RELAY_BROADCAST_MAX_MS 200
 
 typedef struct relay relay_t;
 
-/* poll_time is the poll interval of a poller. */
-relay_t *relay_create(const char *instance, ms_t poll_time);
+typedef struct {
+	const char *instance;	 /* copied */
+	ms_t poll_time;		 /* usual poll interval of a poller */
+	double link_bytes_per_s; /* bandwidth of the instance's own link */
+} relay_options_t;
+
+relay_t *relay_create(const relay_options_t *options);
 void relay_destroy(relay_t *relay);
 
 /* Adds a live instance, or removes one that is gone. */
@@ -94,6 +104,9 @@
 gboolean relay_receive_broadcast(relay_t *relay, ms_t now, int64_t from,
 				 int64_t to);
 
+/* Returns the time from the last poll to the next one. */
+ms_t relay_poll_interval(const relay_t *relay);
+
 /* Whether a poll that is due may be skipped; last is the time of the last. */
 gboolean relay_may_skip_poll(const relay_t *relay, ms_t now, ms_t last);
 
--- a/t/t0804-front-stop.sh
+++ b/t/t0804-front-stop.sh
@@ -52,7 +52,7 @@
 cp "$work/front1.json" "$work/right"
 cp "$work/wrong" "$work/front1.json"
 signal_to front1 HUP
-wait_for grep -q "settings refused.*'grace_s' must be a whole number" \
+wait_for grep -q "settings refused.*'grace_s' must be a number" \
 	"$work/front1.out"
 is_ready 1 || fail 'not ready after invalid settings'
 cp "$work/right" "$work/front1.json"
@@ -62,7 +62,7 @@
 	sed "s|$work/||g"
 }
 expect 'an invalid setting ends the start and is named' check "$work/wrong" <<\END
-hc-front: wrong: setting 'grace_s' must be a whole number
+hc-front: wrong: setting 'grace_s' must be a number
 END
 expect 'valid settings pass' check "$work/right" <<\END
 END
--- a/t/unit/test-relay.c
+++ b/t/unit/test-relay.c
@@ -12,6 +12,9 @@
 #define INSTANCES 76
 #define POLL_MS	  900
 
+/* The slowest link of any site: 10 Mbit/s. */
+#define LINK_BYTES_PER_S 1.25e6
+
 static const char *name_of(int n)
 {
 	static char name[16];
@@ -22,7 +25,10 @@
 
 static relay_t *create_relay(int n)
 {
-	relay_t *relay = relay_create(name_of(n), POLL_MS);
+	relay_options_t options = {.instance = name_of(n),
+				   .poll_time = POLL_MS,
+				   .link_bytes_per_s = LINK_BYTES_PER_S};
+	relay_t *relay = relay_create(&options);
 	int i;
 
 	for (i = 0; i < INSTANCES; i++)
@@ -127,7 +133,8 @@
 {
 	relay_t *relay = create_relay(find_instance(TRUE));
 	relay_t *receiver = create_relay(find_instance(FALSE));
-	size_t small = RELAY_BROADCAST_MAX_BYTES / INSTANCES;
+	size_t small = (size_t)(LINK_BYTES_PER_S * RELAY_BROADCAST_MAX_MS /
+				MS_PER_S / INSTANCES);
 	ms_t now = 100000;
 	int64_t from;
 	int64_t to;
@@ -197,6 +204,32 @@
 	relay_destroy(relay);
 }
 
+/* The time in which changes are frequent after a start. */
+#define STARTUP_MS 2500
+
+/*
+ * All instances of a large fleet start at once, and their updates are too large
+ * for broadcasts, so that each polls for itself.  Calls are priced: an instance
+ * makes no more than a few in the first seconds.
+ */
+static void test_start_of_large_fleet(void **state)
+{
+	relay_t *relay = create_relay(0);
+	ms_t now = 0;
+	int polls = 0;
+
+	relay_note_full_read(relay, 1);
+	assert_int_equal(relay_poll_interval(relay), RELAY_FIRST_POLL_MS);
+	while ((now += relay_poll_interval(relay)) < STARTUP_MS) {
+		relay_note_poll(relay, ++polls);
+		assert_in_range(relay_poll_interval(relay), RELAY_FIRST_POLL_MS,
+				POLL_MS);
+	}
+	assert_in_range(polls, 3, 5);
+	assert_int_equal(relay_poll_interval(relay), POLL_MS);
+	relay_destroy(relay);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -205,6 +238,7 @@
 		cmocka_unit_test(test_lost_broadcast),
 		cmocka_unit_test(test_large_update),
 		cmocka_unit_test(test_successor),
+		cmocka_unit_test(test_start_of_large_fleet),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/t/unit/test-settings.c
+++ b/t/unit/test-settings.c
@@ -20,11 +20,12 @@
 typedef struct {
 	char *name;
 	int64_t port;
+	double slack;
 	gboolean is_on;
 	char **peers;
 } values_t;
 
-static void init_table(values_t *values, setting_t table[5])
+static void init_table(values_t *values, setting_t table[6])
 {
 	memset(values, 0, sizeof(*values));
 	table[0] = (setting_t){"name", SETTING_TEXT, &values->name, NULL, 0, 0};
@@ -34,7 +35,9 @@
 		(setting_t){"on", SETTING_BOOL, &values->is_on, "false", 0, 0};
 	table[3] =
 		(setting_t){"peers", SETTING_LIST, &values->peers, "[]", 0, 0};
-	table[4] = (setting_t){NULL, SETTING_TEXT, NULL, NULL, 0, 0};
+	table[4] = (setting_t){"slack", SETTING_NUMBER, &values->slack, "10", 0,
+			       1000};
+	table[5] = (setting_t){NULL, SETTING_TEXT, NULL, NULL, 0, 0};
 }
 
 static void release(values_t *values)
@@ -46,7 +49,7 @@
 static gboolean parse(values_t *values, const char *text, gssize size,
 		      GError **error)
 {
-	setting_t table[5];
+	setting_t table[6];
 
 	init_table(values, table);
 	return settings_parse("file", text, size, table, error);
@@ -69,6 +72,24 @@
 	release(&values);
 }
 
+/* The platform gives some figures as whole numbers or as fractions. */
+static void test_number_with_fraction(void **state)
+{
+	values_t values;
+
+	assert_true(
+		parse(&values, "{\"name\": \"a\", \"slack\": 19.2}", -1, NULL));
+	assert_true(values.slack == 19.2);
+	release(&values);
+	assert_true(
+		parse(&values, "{\"name\": \"a\", \"slack\": 56}", -1, NULL));
+	assert_true(values.slack == 56);
+	release(&values);
+	assert_true(parse(&values, "{\"name\": \"a\"}", -1, NULL));
+	assert_true(values.slack == 10);
+	release(&values);
+}
+
 static const struct {
 	const char *text;
 	const char *hint;
@@ -78,6 +99,10 @@
 	{"{\"name\": 4}", "must be a string"},
 	{"{\"name\": \"a\", \"port\": \"x\"}", "must be a whole number"},
 	{"{\"name\": \"a\", \"port\": 0}", "from 1 to 65535"},
+	{"{\"name\": \"a\", \"port\": 8000.5}", "must be a whole number"},
+	{"{\"name\": \"a\", \"slack\": \"5\"}", "'slack' must be a number"},
+	{"{\"name\": \"a\", \"slack\": 1000.5}",
+	 "is 1000.5; give a value from 0"},
 	{"{\"name\": \"a\", \"on\": 1}", "must be true or false"},
 	{"{\"name\": \"a\", \"peers\": [1]}", "must be a list of strings"},
 	{"[]", "one JSON object"},
@@ -153,6 +178,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_values_and_defaults),
+		cmocka_unit_test(test_number_with_fraction),
 		cmocka_unit_test(test_error_messages),
 		cmocka_unit_test(test_deep_nesting_rejected),
 		cmocka_unit_test(test_fuzz),
