front: cut off answers and events that do not end

Cause: an error, or an answer without the endpoint's signature, is kept until it is complete, whatever its size, and so is an event of a resumable stream. A server that sends such bytes without end fills the memory of the instance until the timeout of the route, and the caller waits as long.

Change: what can't be relayed in parts is rejected above 256 KB, an event above 64 KB. The connection is closed; the request is retried or fails by the same rules as after a broken answer.

--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -8,6 +8,9 @@
  */
 #define BUFFERED_MAX_BYTES (256 * 1024)
 
+/* Largest event of a stream; those of engines hold a few tokens. */
+#define EVENT_MAX_BYTES (64 * 1024)
+
 static gboolean on_head(void *ctx, const http1_head_t *head)
 {
 	forward_t *forward = ctx;
@@ -75,9 +78,9 @@
 
 /*
  * Relays complete events only, so that the stream can be resumed at another
- * endpoint.
+ * endpoint.  Returns FALSE if an event does not end.
  */
-static void relay_events(forward_t *forward, const char *data, size_t size)
+static gboolean relay_events(forward_t *forward, const char *data, size_t size)
 {
 	GString *event = forward->partial_event;
 	const char *end;
@@ -90,6 +93,7 @@
 		call_write(forward->call, event->str, length);
 		g_string_erase(event, 0, (gssize)length);
 	}
+	return event->len <= EVENT_MAX_BYTES;
 }
 
 static void record_gap(forward_t *forward)
@@ -102,34 +106,44 @@
 	forward->last_data_at = now;
 }
 
-static void on_data(void *ctx, const char *data, size_t size)
+static gboolean relay_stream(forward_t *forward, const char *data, size_t size)
+{
+	begin_answer(forward, -1);
+	forward_set_timer(forward);
+	if (forward->route->is_resumable)
+		return relay_events(forward, data, size);
+	call_write(forward->call, data, size);
+	return TRUE;
+}
+
+/* Returns FALSE if an answer that can't be relayed in parts does not end. */
+static gboolean buffer_answer(forward_t *forward, const char *data, size_t size)
+{
+	GByteArray *buffered = forward->buffered;
+
+	g_byte_array_append(buffered, (const guint8 *)data, (guint)size);
+	if (buffered->len <= BUFFERED_MAX_BYTES)
+		return TRUE;
+	if (!is_success(forward) || !is_valid_success(forward))
+		return FALSE;
+	begin_answer(forward, -1);
+	call_write(forward->call, (const char *)buffered->data, buffered->len);
+	return TRUE;
+}
+
+static gboolean on_data(void *ctx, const char *data, size_t size)
 {
 	forward_t *forward = ctx;
 
 	record_gap(forward);
 	if (forward->is_stream && is_success(forward) &&
-	    is_valid_success(forward)) {
-		begin_answer(forward, -1);
-		forward_set_timer(forward);
-		if (forward->route->is_resumable)
-			relay_events(forward, data, size);
-		else
-			call_write(forward->call, data, size);
-		return;
-	}
-	if (forward->is_answer_begun) {
-		if (!forward->is_stream)
-			call_write(forward->call, data, size);
-		return;
-	}
-	g_byte_array_append(forward->buffered, (const guint8 *)data,
-			    (guint)size);
-	if (forward->buffered->len <= BUFFERED_MAX_BYTES ||
-	    !is_success(forward) || !is_valid_success(forward))
-		return;
-	begin_answer(forward, -1);
-	call_write(forward->call, (const char *)forward->buffered->data,
-		   forward->buffered->len);
+	    is_valid_success(forward))
+		return relay_stream(forward, data, size);
+	if (!forward->is_answer_begun)
+		return buffer_answer(forward, data, size);
+	if (!forward->is_stream)
+		call_write(forward->call, data, size);
+	return TRUE;
 }
 
 /* Relays an answer that is complete. */
--- a/lib/front/link.c
+++ b/lib/front/link.c
@@ -53,7 +53,7 @@
 	gboolean keeps_alive;
 	gboolean is_fresh;    /* no answer has been received on it */
 	gboolean is_written;  /* the request was written completely */
-	gboolean is_rejected; /* the owner rejected the head */
+	gboolean is_rejected; /* the owner rejected the answer */
 	gboolean is_reading;  /* http1_reader is running */
 } link_t;
 
@@ -267,8 +267,9 @@
 	link_t *link = ctx;
 
 	/* The owner may have cancelled the exchange from a callback. */
-	if (link->exchange && !link->is_rejected)
-		link->exchange->events.on_data(link->exchange->ctx, data, size);
+	if (link->exchange && !link->is_rejected &&
+	    !link->exchange->events.on_data(link->exchange->ctx, data, size))
+		link->is_rejected = TRUE;
 }
 
 static void on_message_end(void *ctx)
--- a/lib/front/link.h
+++ b/lib/front/link.h
@@ -31,7 +31,8 @@
 typedef struct {
 	/* FALSE rejects the answer: on_end() follows with LINK_BROKEN. */
 	gboolean (*on_head)(void *ctx, const http1_head_t *head);
-	void (*on_data)(void *ctx, const char *data, size_t size);
+	/* FALSE rejects the rest of the answer, likewise. */
+	gboolean (*on_data)(void *ctx, const char *data, size_t size);
 	/* why is a short reason for logs, valid until on_end() returns. */
 	void (*on_end)(void *ctx, link_result_t result, const char *why);
 } link_events_t;
--- a/t/t0802-front-faults.sh
+++ b/t/t0802-front-faults.sh
@@ -63,6 +63,17 @@
 wait_for eval 'test "$(code 1 /read/x)" = 200'
 control desk-1 mode=ok
 
+# An error whose body never ends is cut off, and neither kept nor waited for.
+control desk-1 mode=endless
+control desk-2 mode=endless
+expect 'an endless error ends before the timeout' code 1 /write/x -X POST -d 1 \
+	<<\END
+502
+END
+control desk-2 mode=ok
+wait_for eval 'test "$(code 1 /read/x)" = 200'
+control desk-1 mode=ok
+
 # The model of an engine, resumed after the last event, sends no further one.
 after_last () {
 	curl -sS --max-time 5 -X POST -H 'Last-Event-Id: 29' \
--- a/t/unit/test-link.c
+++ b/t/unit/test-link.c
@@ -32,6 +32,7 @@
 	links_t *links;
 	/* What the user of the link was told. */
 	gboolean rejects_head;
+	gboolean rejects_data;
 	int ended;
 	link_result_t result;
 	char *why; /* of the newest on_end() */
@@ -125,9 +126,12 @@
 	return !((fixture_t *)ctx)->rejects_head;
 }
 
-static void on_data(void *ctx, const char *data, size_t size)
+static gboolean on_data(void *ctx, const char *data, size_t size)
 {
-	g_string_append_len(((fixture_t *)ctx)->body, data, (gssize)size);
+	fixture_t *fixture = ctx;
+
+	g_string_append_len(fixture->body, data, (gssize)size);
+	return !fixture->rejects_data;
 }
 
 static void on_end(void *ctx, link_result_t result, const char *why)
@@ -295,6 +299,26 @@
 	end(&fixture);
 }
 
+/* The owner does not want the rest of a body: the connection is closed. */
+static void test_rejected_data(void **state)
+{
+	static const char chunk[] = "HTTP/1.1 500 Failed\r\n"
+				    "Transfer-Encoding: chunked\r\n\r\n"
+				    "4\r\nabcd\r\n";
+	fixture_t fixture;
+
+	begin(&fixture);
+	fixture.rejects_data = TRUE;
+	assert_int_equal(exchange(&fixture, chunk, END_OPEN), LINK_BROKEN);
+	assert_string_equal(fixture.body->str, "abcd");
+	assert_string_equal(fixture.why, "answer rejected");
+	fixture.rejects_data = FALSE;
+	assert_int_equal(exchange(&fixture, WITH_LENGTH, END_OPEN),
+			 LINK_COMPLETE);
+	assert_int_equal(fixture.accepted, 2);
+	end(&fixture);
+}
+
 static void test_not_sent(void **state)
 {
 	fixture_t fixture;
@@ -353,6 +377,7 @@
 		cmocka_unit_test(test_answer_without_length),
 		cmocka_unit_test(test_incomplete_answer),
 		cmocka_unit_test(test_rejected_head),
+		cmocka_unit_test(test_rejected_data),
 		cmocka_unit_test(test_not_sent),
 		cmocka_unit_test(test_cancelled),
 	};
