own: back off with lease calls while the store is away

Change: the time between attempts doubles with each failed one, up to 3.2 s. The first call that the store answers again, a poll in most cases, ends the wait.

--- a/lib/entry/entry_claims.c
+++ b/lib/entry/entry_claims.c
@@ -47,10 +47,15 @@
 entry_claims_t *entry_claims_create(process_t *process, kv_t *kv)
 {
 	entry_claims_t *claims = g_new0(entry_claims_t, 1);
-	lease_options_t lease = {NULL,		 "{\"program\":\"hc-entry\"}",
-				 LEASE_TTL_MS,	 LEASE_MARGIN_MS,
-				 LEASE_RENEW_MS, LEASE_RETRY_MS,
-				 on_wake,	 claims};
+	lease_options_t lease = {NULL,
+				 "{\"program\":\"hc-entry\"}",
+				 LEASE_TTL_MS,
+				 LEASE_MARGIN_MS,
+				 LEASE_RENEW_MS,
+				 LEASE_RETRY_MS,
+				 0,
+				 on_wake,
+				 claims};
 	claim_options_t options;
 
 	claims->process = process;
--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -20,6 +20,11 @@
 /* The clocks of two machines drift apart by less than this part of a lease. */
 #define LEASE_MARGIN_DIVISOR	10
 #define LEASE_RETRY_INTERVAL_MS 200
+/*
+ * Calls are priced, also those that fail.  Once the store is back, a poll
+ * notices it earlier than this.
+ */
+#define LEASE_RETRY_INTERVAL_MAX_MS 3200
 
 typedef struct {
 	adapters_t *adapters;
@@ -167,6 +172,7 @@
 		.renew_interval =
 			adapters->options.lease_ttl / LEASE_RENEW_DIVISOR,
 		.retry_interval = LEASE_RETRY_INTERVAL_MS,
+		.retry_interval_max = LEASE_RETRY_INTERVAL_MAX_MS,
 		.wake = wake,
 		.ctx = adapters,
 	};
@@ -258,6 +264,11 @@
 	       lease_is_released(adapters->lease);
 }
 
+void adapters_on_store_regained(adapters_t *adapters)
+{
+	lease_retry_now(adapters->lease);
+}
+
 static void apply_engine_record(adapters_t *adapters, const char *engine,
 				const kv_item_t *item)
 {
--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -142,6 +142,9 @@
 /* Must be called once all items have been read for the first time. */
 void adapters_on_synced(adapters_t *adapters);
 
+/* Must be called when the key-value service responds again. */
+void adapters_on_store_regained(adapters_t *adapters);
+
 /* Adds an engine to the known ones, or removes it. */
 void adapters_set_engine(adapters_t *adapters, const char *engine,
 			 gboolean is_listed);
--- a/lib/front/front_items.c
+++ b/lib/front/front_items.c
@@ -282,8 +282,10 @@
 {
 	front_t *front = ctx;
 
-	if (!is_lost)
-		front->store_regained_at = ms_clock_now(front->clock);
+	if (is_lost)
+		return;
+	front->store_regained_at = ms_clock_now(front->clock);
+	adapters_on_store_regained(front->adapters);
 }
 
 void front_remove_expired(front_t *front, ms_t now)
--- a/lib/own/lease.c
+++ b/lib/own/lease.c
@@ -22,7 +22,8 @@
 	ms_t sent_at;	  /* of the last grant or renewal */
 	ms_t valid_until; /* local expiry time, also in STATE_GRANTED */
 	ms_t renew_at;
-	ms_t retry_at; /* no call is made before */
+	ms_t retry_at;	  /* no call is made before */
+	ms_t retry_delay; /* until the next retry */
 	gboolean is_retry_due;
 	gboolean is_record_unconfirmed; /* read it before writing again */
 	gboolean is_single_process;
@@ -43,6 +44,7 @@
 	lease->instance = g_strdup(options->instance);
 	lease->key = lease_record_key(options->instance);
 	lease->record = g_strdup(options->record);
+	lease->retry_delay = options->retry_interval;
 	return lease;
 }
 
@@ -63,6 +65,8 @@
 {
 	lease->is_busy = FALSE;
 	lease->is_retry_due = is_retry_due;
+	if (!is_retry_due)
+		lease->retry_delay = lease->options.retry_interval;
 	lease->options.wake(lease->options.ctx);
 }
 
@@ -173,13 +177,24 @@
 	}
 }
 
+void lease_retry_now(lease_t *lease)
+{
+	lease->retry_at = 0;
+	lease->is_retry_due = FALSE;
+	lease->retry_delay = lease->options.retry_interval;
+}
+
 ms_t lease_tick(lease_t *lease, ms_t now)
 {
 	if (lease->state == STATE_RELEASED || lease->is_busy)
 		return now + lease->options.retry_interval;
 	if (lease->is_retry_due) {
 		lease->is_retry_due = FALSE;
-		lease->retry_at = now + lease->options.retry_interval;
+		lease->retry_at = now + lease->retry_delay;
+		lease->retry_delay =
+			MIN(2 * lease->retry_delay,
+			    MAX(lease->options.retry_interval,
+				lease->options.retry_interval_max));
 	}
 	if (now >= lease->retry_at)
 		start_next_call(lease, now);
--- a/lib/own/lease.h
+++ b/lib/own/lease.h
@@ -33,6 +33,10 @@
 	ms_t margin;
 	ms_t renew_interval;
 	ms_t retry_interval;
+	/*
+	 * Doubled with each failed call, up to this; 0 for no increase.
+	 */
+	ms_t retry_interval_max;
 	/* Requests a call of lease_tick(); called from kv callbacks. */
 	void (*wake)(void *ctx);
 	void *ctx;
@@ -58,6 +62,9 @@
  */
 void lease_destroy(lease_t *lease);
 
+/* The service responds again: retries at the next lease_tick(). */
+void lease_retry_now(lease_t *lease);
+
 /* Performs the work that is due.  Returns the time of the next call. */
 ms_t lease_tick(lease_t *lease, ms_t now);
 
--- a/lib/owner/ownership_driver.c
+++ b/lib/owner/ownership_driver.c
@@ -197,6 +197,7 @@
 				 LEASE_MARGIN_MS,
 				 LEASE_RENEW_MS,
 				 LEASE_RETRY_MS,
+				 0,
 				 on_wake,
 				 driver};
 	ownership_options_t options;
--- a/t/lib/own_sim.c
+++ b/t/lib/own_sim.c
@@ -120,6 +120,7 @@
 				 LEASE_MARGIN_MS,
 				 LEASE_RENEW_MS,
 				 LEASE_RETRY_MS,
+				 0,
 				 own_sim_on_wake,
 				 instance};
 
--- a/t/unit/soak-claim.c
+++ b/t/unit/soak-claim.c
@@ -271,7 +271,8 @@
 static void start(sim_t *sim, int index)
 {
 	entry_t *entry = &sim->entries[index];
-	lease_options_t lease = {"", "{}", 3000, 300, 800, 200, on_wake, entry};
+	lease_options_t lease = {"",  "{}", 3000,    300,  800,
+				 200, 0,    on_wake, entry};
 	claim_options_t options;
 	char name[16];
 
--- a/t/unit/test-kv-rates.c
+++ b/t/unit/test-kv-rates.c
@@ -229,10 +229,15 @@
 	int i;
 
 	for (i = 0; i < instances; i++) {
-		lease_options_t lease = {name,		 "{}",
-					 LEASE_TTL_MS,	 LEASE_MARGIN_MS,
-					 LEASE_RENEW_MS, LEASE_RETRY_MS,
-					 on_wake,	 NULL};
+		lease_options_t lease = {name,
+					 "{}",
+					 LEASE_TTL_MS,
+					 LEASE_MARGIN_MS,
+					 LEASE_RENEW_MS,
+					 LEASE_RETRY_MS,
+					 0,
+					 on_wake,
+					 NULL};
 		claim_options_t options;
 		kv_t *kv = fake_kv_connect(fake);
 
--- a/t/unit/test-lease.c
+++ b/t/unit/test-lease.c
@@ -74,11 +74,65 @@
 	assert_true(time_to_acquire(FALSE) > TTL_MS / 2);
 }
 
+#define OUTAGE_MS	 8000
+#define RETRY_MS	 200
+#define RETRY_MAX_MS	 3200
+#define OUTAGE_CALLS_MAX 8
+
+/*
+ * The service is away for some seconds, and each call has a price: a large
+ * fleet must not call all the time.  The lease is back right after the service.
+ */
+static void test_outage(void **state)
+{
+	fake_kv_t *fake = fake_kv_create(1);
+	kv_t *kv = fake_kv_connect(fake);
+	lease_options_t options = {.instance = "one",
+				   .record = "10.0.0.1:80",
+				   .ttl = 2000,
+				   .margin = 200,
+				   .renew_interval = 667,
+				   .retry_interval = RETRY_MS,
+				   .retry_interval_max = RETRY_MAX_MS,
+				   .wake = wake};
+	lease_t *lease = lease_create(kv, &options);
+	ms_t now = fake_kv_now(fake);
+	ms_t end = now + 1000;
+	int64_t before;
+
+	lease_set_single_process(lease);
+	for (; now < end; now += STEP_MS) {
+		lease_tick(lease, now);
+		fake_kv_run(fake, now);
+	}
+	assert_true(lease_is_valid(lease, now));
+	before = fake_kv_stats(fake)->lease_calls;
+	fake_kv_set_mode(fake, FAKE_KV_REFUSING);
+	for (end += OUTAGE_MS; now < end; now += STEP_MS) {
+		lease_tick(lease, now);
+		fake_kv_run(fake, now);
+	}
+	assert_false(lease_is_valid(lease, now));
+	assert_in_range(fake_kv_stats(fake)->lease_calls - before, 4,
+			OUTAGE_CALLS_MAX);
+	fake_kv_set_mode(fake, FAKE_KV_UP);
+	lease_retry_now(lease);
+	for (end += 500; now < end; now += STEP_MS) {
+		lease_tick(lease, now);
+		fake_kv_run(fake, now);
+	}
+	assert_true(lease_is_valid(lease, now));
+	kv_destroy(kv);
+	lease_destroy(lease);
+	fake_kv_destroy(fake);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_single_process_replaces_record),
 		cmocka_unit_test(test_other_processes_wait_for_expiry),
+		cmocka_unit_test(test_outage),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
