hold: measure the queue for an adapter without the load itself

A load takes 800 ms there and the goal is 200 ms: each cold adapter was taken for a queue that stands, and all of them were refused, also with nothing before them. A deployment whose loads take longer than its goals would have been served no rare adapter at all.

Change: the average is of the wait in the queue alone, a request stands for half a second of it at most, and a load that takes longer than the goal is awaited. The share of the goal is now a quarter, of the queue alone.

--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -486,6 +486,35 @@
 				      MAX(version, declared), &resident);
 }
 
+/*
+ * Sets how long the admission may wait for its adapter.  Refuses it and returns
+ * FALSE if it would have to wait for longer.
+ */
+static gboolean admission_may_wait(held_engine_t *held,
+				   held_admission_t *admission,
+				   const admission_t *request, ms_t now)
+{
+	const char *adapter = admission->adapter;
+	ms_t slot_wait = adapter_cache_estimate_slot_wait(held->cache, adapter);
+	ms_t load_time = adapter_cache_load_time(held->cache, adapter);
+	ms_t wait = slot_wait +
+		    adapter_cache_estimate_load_wait(held->cache, adapter);
+	ms_t limit = patience_limit(&held->patience, now, wait - load_time,
+				    request->load_goal, request->load_max);
+
+	if (slot_wait > request->request.wait_max) {
+		admission_refuse(held, admission, now, REFUSAL_NO_SLOT,
+				 slot_wait);
+		return FALSE;
+	}
+	/* A load that takes longer than the goal is awaited all the same. */
+	admission->load_max = MIN(MAX(limit, load_time), request->load_max);
+	if (wait <= admission->load_max)
+		return TRUE;
+	admission_refuse(held, admission, now, REFUSAL_LOAD_QUEUE_FULL, wait);
+	return FALSE;
+}
+
 void held_engine_admit(held_engine_t *held, conn_t *requester,
 		       admission_id_t id, const admission_t *request)
 {
@@ -493,8 +522,6 @@
 	ms_t now = now_of(adapters);
 	held_admission_t *admission = g_new0(held_admission_t, 1);
 	holder_reply_t reply = {.type = MESSAGE_QUEUED, .admission = id};
-	ms_t slot_wait;
-	ms_t load_wait;
 
 	sync_incarnation(held);
 	admission->requester = requester;
@@ -522,26 +549,9 @@
 		return;
 	}
 	if (admission->adapter &&
-	    !adapter_cache_version(held->cache, admission->adapter)) {
-		slot_wait = adapter_cache_estimate_slot_wait(
-			held->cache, admission->adapter);
-		if (slot_wait > admission->request.wait_max) {
-			admission_refuse(held, admission, now, REFUSAL_NO_SLOT,
-					 slot_wait);
-			return;
-		}
-		load_wait = adapter_cache_estimate_load_wait(
-			held->cache, admission->adapter);
-		admission->load_max = patience_limit(
-			&held->patience, now, slot_wait + load_wait,
-			request->load_goal, request->load_max);
-		if (slot_wait + load_wait > admission->load_max) {
-			admission_refuse(held, admission, now,
-					 REFUSAL_LOAD_QUEUE_FULL,
-					 slot_wait + load_wait);
-			return;
-		}
-	}
+	    !adapter_cache_version(held->cache, admission->adapter) &&
+	    !admission_may_wait(held, admission, request, now))
+		return;
 	if (!admission->adapter ||
 	    adapter_cache_version(held->cache, admission->adapter)) {
 		if (!admission_submit(held, admission, now))
--- a/lib/hold/adapter_cache.h
+++ b/lib/hold/adapter_cache.h
@@ -183,6 +183,9 @@
 ms_t adapter_cache_estimate_load_wait(const adapter_cache_t *cache,
 				      const char *adapter);
 
+/* Returns the time of a load of the adapter with no other load beside it. */
+ms_t adapter_cache_load_time(const adapter_cache_t *cache, const char *adapter);
+
 /* Returns the version that is usable now, or 0. */
 int64_t adapter_cache_version(const adapter_cache_t *cache,
 			      const char *adapter);
--- a/lib/hold/adapter_cache_wait.c
+++ b/lib/hold/adapter_cache_wait.c
@@ -68,3 +68,9 @@
 	}
 	return wait + options->load_time;
 }
+
+ms_t adapter_cache_load_time(const adapter_cache_t *cache, const char *adapter)
+{
+	return cache_find_recent(cache, adapter) ? cache->options.again_time
+						 : cache->options.load_time;
+}
--- a/lib/hold/patience.h
+++ b/lib/hold/patience.h
@@ -17,8 +17,14 @@
 /* Time constant of the moving average of waits. */
 #define PATIENCE_BURST_MS 2000
 
+/* The longest time for which one request stands in that average. */
+#define PATIENCE_SAMPLE_MAX_MS 500
+
+/* The share of the goal above which a mean wait leaves too little of it. */
+#define PATIENCE_GOAL_SHARE 0.25
+
 typedef struct {
-	double mean_wait; /* moving average of the expected waits, in ms */
+	double mean_wait; /* moving average of the waits in the queue, in ms */
 	ms_t updated_at;
 } patience_t;
 
@@ -26,11 +32,10 @@
 
 /*
  * Returns the longest wait that is allowed for a request that comes now and is
- * expected to wait for the estimate.  It is max, or goal while waits have taken
- * half of the goal or more for some time, so that there is none left for the
- * rest of the answer.
+ * expected to wait in the queue for queue_wait, without what it takes itself.
+ * It is max, or goal while waits have taken too much of the goal for some time.
  */
-ms_t patience_limit(patience_t *patience, ms_t now, ms_t estimate, ms_t goal,
+ms_t patience_limit(patience_t *patience, ms_t now, ms_t queue_wait, ms_t goal,
 		    ms_t max);
 
 #endif
