front: do not wait at a holder whose instance is gone

Each waited for an adapter at a holder that was stopped as planned. Its record in the store is removed, the others close their connections to it, and it drops what waits there; but a connection that is closed on purpose is not reported as lost, so nobody told the requests, which went on waiting for 4.5 s.

Change: when an instance is removed, the admissions that wait there are failed, as when its connection is lost, and their requests go on at another engine.

Ruled out: the stopping holder itself (it ticks on, and would have admitted or refused them); lost replies (the admissions ended with the connection, logged).

--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -416,10 +416,13 @@
 		g_hash_table_remove(adapters->records, instance);
 	if (!adapters->peers)
 		return;
-	if (record)
+	if (record) {
 		connect_peer(adapters, instance, record);
-	else
-		peers_remove(adapters->peers, instance);
+		return;
+	}
+	peers_remove(adapters->peers, instance);
+	/* The instance drops what waits there along with the connection. */
+	fail_admissions(adapters, instance, 0, REFUSAL_NOT_HELD);
 }
 
 static void send_admission(adapters_t *adapters, const char *holder,
