front: take no prompt for long below half of the pause

Cause, found by reading the diff: on a route that allows pauses below 100 ms each prompt counted as long since the reserve is a time and no share any more, and all of them would have gone to the engines kept for long ones. No test shows it without the real program: not measured.

--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -54,8 +54,9 @@
 
 /*
  * A prompt is long if its reading takes the pause that its route allows less
- * this reserve: for the tokens of one event, and for the part of the time that
- * grows with the square of the prompt's length.
+ * this reserve, but no less than half of the pause.  The reserve is for the
+ * tokens of one event, and for the part of the time that grows with the square
+ * of the prompt's length.
  */
 #define LONG_PROMPT_RESERVE_MS 100
 
@@ -339,13 +340,12 @@
 {
 	double prefill_time = (double)forward->fields.tokens_in * MS_PER_S /
 			      (double)forward->front->settings.prefill_per_s;
+	ms_t pause = forward->route->pause;
+	ms_t limit = MAX(pause - LONG_PROMPT_RESERVE_MS, pause / 2);
 
-	if (!forward->route->pause)
+	if (!pause)
 		return PROMPT_ANY;
-	return prefill_time > (double)(forward->route->pause -
-				       LONG_PROMPT_RESERVE_MS)
-		       ? PROMPT_LONG
-		       : PROMPT_SHORT;
+	return prefill_time > (double)limit ? PROMPT_LONG : PROMPT_SHORT;
 }
 
 /* How long the request may wait for a place at an engine. */
