--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -14,7 +14,7 @@
  * Engines at which admission is requested before the request is refused.  More
  * than one, as another engine may still have a place when demand is high.
  */
-#define ADMISSION_TRIES_MAX 3
+#define ADMISSION_TRIES_MAX 5
 
 /* Times that endpoints may lack an adapter that was presumed resident. */
 #define ADAPTER_MISSES_MAX 4
