wire/conn: give up a connection to an instance that has gone silent

Cause: a connection between instances had no sign of life.

Change: what is sent over a connection on which nothing was received for a second carries a probe; without an answer within another second the connection ends and is opened anew. Idle connections cost nothing, and peers of an older build, which do not answer probes, are not held to it. A holder closes the former connection of an instance that opens another one, and frees the places that its requests took. /status tells how many admissions there are.

--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -226,6 +226,8 @@
 		g_int64_hash, g_int64_equal, g_free, sent_admission_free);
 	adapters->self_replies = g_queue_new();
 	uv_timer_init(loop, &adapters->self_timer);
+	adapters->requesters =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	adapters->records =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	adapters->orders = counter_get("hc_orders_total");
@@ -397,17 +399,21 @@
 	gpointer id;
 	gpointer value;
 	gboolean is_first = TRUE;
+	guint admissions = 0;
 
 	g_string_append_printf(json, ",\"instances\":%u,\"held\":{",
 			       adapters_instance_count(adapters));
 	g_hash_table_iter_init(&iter, adapters->held);
 	while (g_hash_table_iter_next(&iter, &id, &value)) {
 		const held_engine_t *held = value;
+		const held_admission_t *admission;
 
+		TAILQ_FOREACH (admission, &held->admissions, link)
+			admissions++;
 		g_string_append_printf(
 			json, "%s\"%s\":%u", is_first ? "" : ",", (char *)id,
 			held->cache ? adapter_cache_count(held->cache) : 0);
 		is_first = FALSE;
 	}
-	g_string_append(json, "}");
+	g_string_append_printf(json, "},\"admissions\":%u", admissions);
 }
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -8,6 +8,12 @@
 /* Longest name of an engine or adapter in a message. */
 #define NAME_MAX_BYTES 256
 
+/*
+ * A silent connection is closed after twice this time, which is longer than a
+ * busy instance takes to answer.
+ */
+#define PEER_KEEPALIVE_MS 1000
+
 /* Role stated in the handshake of these connections. */
 #define ROLE "front"
 
@@ -262,19 +268,44 @@
 		log_malformed(conn_peer_instance(conn));
 }
 
+static void drop_requester(adapters_t *adapters, conn_t *conn)
+{
+	GHashTableIter iter;
+	gpointer held;
+
+	g_hash_table_iter_init(&iter, adapters->held);
+	while (g_hash_table_iter_next(&iter, NULL, &held))
+		held_engine_drop_requester(held, conn);
+}
+
+/*
+ * An instance keeps one connection to each other.  It opens another one only
+ * after it has given up the first, which may still look open here.
+ */
 static void on_request_ready(void *ctx, conn_t *conn)
 {
+	adapters_t *adapters = ctx;
+	const char *instance = conn_peer_instance(conn);
+	conn_t *former = g_hash_table_lookup(adapters->requesters, instance);
+
+	if (former) {
+		log_info("former connection of a peer closed", "peer", instance,
+			 NULL);
+		drop_requester(adapters, former);
+		conn_close(former);
+	}
+	g_hash_table_insert(adapters->requesters, g_strdup(instance), conn);
 }
 
 static void on_request_close(void *ctx, conn_t *conn, const GError *reason)
 {
 	adapters_t *adapters = ctx;
-	GHashTableIter iter;
-	gpointer held;
+	const char *instance = conn_peer_instance(conn);
 
-	g_hash_table_iter_init(&iter, adapters->held);
-	while (g_hash_table_iter_next(&iter, NULL, &held))
-		held_engine_drop_requester(held, conn);
+	drop_requester(adapters, conn);
+	if (instance &&
+	    g_hash_table_lookup(adapters->requesters, instance) == conn)
+		g_hash_table_remove(adapters->requesters, instance);
 }
 
 /* Handles a message of a holder that this instance connected to. */
@@ -390,6 +421,7 @@
 	GError *error = NULL;
 
 	process_set_keys(adapters->process, channel_keys_create(key, NULL));
+	process_set_keepalive(adapters->process, PEER_KEEPALIVE_MS);
 	adapters->identity = process_identity(adapters->process, ROLE);
 	adapters->peers =
 		peers_create(adapters->identity, &peers_events, adapters);
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -99,8 +99,9 @@
 	peers_t *peers;
 	conn_server_t *server;
 	const conn_identity_t *identity;
-	GHashTable *records; /* instance to its published address */
-	ms_t now;	     /* time of the current tick */
+	GHashTable *records;	/* instance to its published address */
+	GHashTable *requesters; /* instance to its connection here */
+	ms_t now;		/* time of the current tick */
 	admission_id_t last_admission;
 	/* Holders that did not reply in time: name to the time of that. */
 	GHashTable *unresponsive_holders;
--- a/lib/serve/process.c
+++ b/lib/serve/process.c
@@ -341,6 +341,11 @@
 	process->keys = keys;
 }
 
+void process_set_keepalive(process_t *process, ms_t keepalive)
+{
+	process->identity.keepalive = keepalive;
+}
+
 spans_t *process_spans(process_t *process)
 {
 	return process->spans;
--- a/lib/serve/process.h
+++ b/lib/serve/process.h
@@ -101,6 +101,9 @@
  */
 void process_set_keys(process_t *process, channel_keys_t *keys);
 
+/* Probe connections that are silent for this time; see wire/conn.h. */
+void process_set_keepalive(process_t *process, ms_t keepalive);
+
 spans_t *process_spans(process_t *process);
 GRand *process_rand(process_t *process);
 
--- a/lib/wire/conn.c
+++ b/lib/wire/conn.c
@@ -13,8 +13,11 @@
 
 static const char magic[] = "hawthorncross";
 
-/* Message type of the hello; the owner defines all other types. */
-enum { MESSAGE_HELLO = 0 };
+/* After its time, an answer that has arrived already is still read. */
+#define PROBE_GRACE_MS 50
+
+/* Message types of connections themselves; the owner defines all others. */
+enum { MESSAGE_HELLO = 0, MESSAGE_PROBE = 90, MESSAGE_PROBE_ANSWER = 91 };
 
 static void conn_free(conn_t *conn)
 {
@@ -43,6 +46,7 @@
 	conn_end_pending(conn);
 	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
 	uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
+	uv_close((uv_handle_t *)&conn->probe_timer, on_handle_closed);
 }
 
 static void count_close(const conn_t *conn, error_kind_t kind)
@@ -148,9 +152,65 @@
 		  "the peer reads too slowly; the connection will be reopened");
 }
 
+static void append_empty_message(conn_t *conn, int type)
+{
+	codec_writer_t message;
+
+	codec_write_init(&message, type, 0);
+	frame_append(conn->send_queue, message.buffer.data,
+		     message.buffer.size);
+	codec_write_release(&message);
+}
+
+static void on_probe_timer(uv_timer_t *timer)
+{
+	conn_t *conn = timer->data;
+
+	if (!conn->is_probe_late) {
+		/*
+		 * After a pause of this process the answer may be there,
+		 * unread.
+		 */
+		conn->is_probe_late = TRUE;
+		uv_timer_start(timer, on_probe_timer, PROBE_GRACE_MS, 0);
+		return;
+	}
+	conn_fail(conn, ERROR_TIMEOUT,
+		  "the peer does not answer; the connection will be reopened");
+}
+
+static void send_probe(conn_t *conn)
+{
+	append_empty_message(conn, MESSAGE_PROBE);
+	if (!conn->answers_probes)
+		return;
+	conn->is_probe_late = FALSE;
+	uv_timer_start(&conn->probe_timer, on_probe_timer,
+		       (uint64_t)conn->identity->keepalive, 0);
+}
+
+/* Sends a probe along with a message if the peer has been silent for long. */
+static void probe_if_silent(conn_t *conn)
+{
+	uint64_t silence = uv_now(conn->identity->loop) - conn->received_at;
+
+	if (conn->state == STATE_READY && conn->identity->keepalive &&
+	    conn->answers_probes &&
+	    !uv_is_active((uv_handle_t *)&conn->probe_timer) &&
+	    silence >= (uint64_t)conn->identity->keepalive)
+		send_probe(conn);
+}
+
+static void note_received(conn_t *conn)
+{
+	conn->received_at = uv_now(conn->identity->loop);
+	uv_timer_stop(&conn->probe_timer);
+}
+
 void conn_send(conn_t *conn, codec_writer_t *message)
 {
 	if (conn->state != STATE_CLOSED) {
+		probe_if_silent(conn);
 		frame_append(conn->send_queue, message->buffer.data,
 			     message->buffer.size);
 		if (conn->send_queue->len > SEND_QUEUE_MAX)
@@ -204,9 +264,27 @@
 	conn->state = STATE_READY;
 	conn_end_pending(conn);
 	uv_timer_stop(&conn->timer);
+	if (conn->identity->keepalive)
+		send_probe(conn);
 	conn->events.on_ready(conn->ctx, conn);
 }
 
+/* Handles the messages of the connection itself; returns FALSE for others. */
+static gboolean handle_probe(conn_t *conn, const msgpack_object *message)
+{
+	codec_reader_t reader;
+	int type;
+
+	codec_read_init(&reader, message, &type);
+	if (type == MESSAGE_PROBE)
+		append_empty_message(conn, MESSAGE_PROBE_ANSWER);
+	else if (type == MESSAGE_PROBE_ANSWER)
+		conn->answers_probes = TRUE;
+	else
+		return FALSE;
+	return TRUE;
+}
+
 static gboolean on_frame(void *ctx, const msgpack_object *message)
 {
 	conn_t *conn = ctx;
@@ -216,7 +294,8 @@
 		receive_hello(conn, message);
 		break;
 	case STATE_READY:
-		conn->events.on_message(conn->ctx, conn, message);
+		if (!handle_probe(conn, message))
+			conn->events.on_message(conn->ctx, conn, message);
 		break;
 	default:
 		break;
@@ -268,6 +347,7 @@
 			"the peer closed the connection; it will be reopened");
 		return;
 	}
+	note_received(conn);
 	if (!channel_feed(conn->channel, buf->base, (size_t)size, on_plain,
 			  conn, &error)) {
 		conn_fail(conn, error_kind(error), error->message);
@@ -303,8 +383,10 @@
 	uv_tcp_init(identity->loop, &conn->tcp);
 	uv_timer_init(identity->loop, &conn->timer);
 	conn->tcp.data = conn;
+	uv_timer_init(identity->loop, &conn->probe_timer);
 	conn->timer.data = conn;
-	conn->handles = 2;
+	conn->probe_timer.data = conn;
+	conn->handles = 3;
 	uv_timer_start(&conn->timer, on_handshake_timeout, HANDSHAKE_TIMEOUT_MS,
 		       0);
 	return conn;
--- a/lib/wire/conn.h
+++ b/lib/wire/conn.h
@@ -9,17 +9,24 @@
  * read them.  After the TLS handshake both sides send a hello message (protocol
  * version, role, instance); other messages follow in frames (frame.h).
  *
+ * A connection may go silent without a reset.  If the identity has a keepalive
+ * time, a connection over which something is sent, and nothing has been
+ * received for that time, is probed; if no answer arrives within the same time
+ * again, it ends with ERROR_TIMEOUT.  An idle connection costs nothing.  Peers
+ * always answer probes; one that never has, an older version, is not held to
+ * it.
+ *
  * on_ready is called once the peer's hello was accepted.  on_close is called
  * once when the connection ends for any reason except conn_close(); the
  * connection must not be used after on_close returns.
  *
  * Errors passed to on_close: ERROR_UNAVAILABLE (cannot connect, or closed by
- * the peer), ERROR_TIMEOUT (no hello in time), ERROR_UNAUTHENTICATED (the peer
- * has none of our keys), ERROR_PROTOCOL (another protocol version, or a
- * malformed frame), ERROR_TOO_LARGE (a frame above the limit),
- * ERROR_OVERLOADED (the peer reads too slowly, or it is the oldest of
- * CONN_PENDING_MAX accepted connections without a hello when another arrives),
- * ERROR_INTERNAL (encryption failed).
+ * the peer), ERROR_TIMEOUT (no hello in time, or a silent peer),
+ * ERROR_UNAUTHENTICATED (the peer has none of our keys), ERROR_PROTOCOL
+ * (another protocol version, or a malformed frame), ERROR_TOO_LARGE (a frame
+ * above the limit), ERROR_OVERLOADED (the peer reads too slowly, or it is the
+ * oldest of CONN_PENDING_MAX accepted connections without a hello when another
+ * arrives), ERROR_INTERNAL (encryption failed).
  *
  * hc_conn_closed_total counts every such end. hc_conn_refused_total{kind="..."}
  * also counts those with an error other than ERROR_UNAVAILABLE, and those of
@@ -29,6 +36,7 @@
 #include <glib.h>
 #include <uv.h>
 
+#include "base/clock.h"
 #include "wire/channel.h"
 #include "wire/codec.h"
 
@@ -49,6 +57,7 @@
 	const char *role;     /* such as "entry" */
 	const channel_keys_t *keys;
 	int pending_max; /* 0 for CONN_PENDING_MAX */
+	ms_t keepalive;	 /* 0 for none */
 } conn_identity_t;
 
 typedef struct {
--- a/lib/wire/conn_private.h
+++ b/lib/wire/conn_private.h
@@ -24,6 +24,7 @@
 	void *data;
 	uv_tcp_t tcp;
 	uv_timer_t timer;
+	uv_timer_t probe_timer;
 	uv_connect_t connect_req;
 	uv_write_t write_req;
 	conn_state_t state;
@@ -31,6 +32,9 @@
 	TAILQ_ENTRY(conn) pending;
 	gboolean is_accepted;
 	gboolean is_writing;
+	gboolean answers_probes; /* the peer has answered one */
+	gboolean is_probe_late;	 /* the time to answer is over */
+	uint64_t received_at;	 /* loop time of the last bytes */
 	int handles; /* open libuv handles; closing the last one frees */
 	channel_t *channel;
 	frame_reader_t *reader;
