http/client: free no pool whose timer is still closing

Cause, as read and then seen: h2o_socketpool_dispose() closes the pool's timer, which the loop finishes later, while the pool was freed at once.

Change: a retired pool is not freed before its client; once it has no connection left it serves its address again, so that their number stays small.

Test: t0811 now kills connections twice more, 9 s apart, with freed memory overwritten: "instance 1 does not have version 4" on the commit before (the process was gone), 2 of 2 green with this change.

--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -13,9 +13,16 @@
 #define POOL_IDLE_MAX_MS 4000
 #define HEAD_FIELDS_MAX	 64
 
+/*
+ * A retired pool may be used again after this time: it has no connection left.
+ * h2o closes idle ones up to a second late.
+ */
+#define POOL_REUSE_MS (2 * POOL_IDLE_MAX_MS)
+
 /* The connections to one address that calls may use again. */
 typedef struct {
 	h2o_socketpool_t sockets;
+	char *address;	   /* "host:port" */
 	guint calls;	   /* in progress on a connection of the pool */
 	uint64_t ended_at; /* loop time at which the last call ended */
 } pool_t;
@@ -55,6 +62,7 @@
 	pool_t *pool = data;
 
 	h2o_socketpool_dispose(&pool->sockets);
+	g_free(pool->address);
 	g_free(pool);
 }
 
@@ -74,21 +82,6 @@
 	return client;
 }
 
-/* Destroys the retired pools that have no connection left. */
-static void destroy_unused_pools(http_client_t *client)
-{
-	uint64_t now = uv_now(client->loop);
-	guint i;
-
-	for (i = client->retired_pools->len; i-- > 0;) {
-		const pool_t *pool = client->retired_pools->pdata[i];
-
-		/* h2o returns a connection to its pool after the callback. */
-		if (!pool->calls && now - pool->ended_at > POOL_IDLE_MAX_MS)
-			g_ptr_array_remove_index_fast(client->retired_pools, i);
-	}
-}
-
 static void retire_pools(http_client_t *client)
 {
 	GHashTableIter iter;
@@ -104,7 +97,6 @@
 
 void http_client_forget_connections(http_client_t *client)
 {
-	destroy_unused_pools(client);
 	retire_pools(client);
 }
 
@@ -117,23 +109,53 @@
 	g_free(client);
 }
 
-static pool_t *pool_get(http_client_t *client, const char *host, int port)
+/*
+ * Returns a retired pool for the address that has no connection left, or NULL.
+ * Pools are not freed before the client is: h2o closes their timers later.
+ */
+static pool_t *take_retired_pool(http_client_t *client, const char *address)
 {
-	char *key = g_strdup_printf("%s:%d", host, port);
-	pool_t *pool = g_hash_table_lookup(client->pools, key);
-	struct sockaddr_in addr;
+	uint64_t now = uv_now(client->loop);
+	guint i;
 
-	if (pool) {
-		g_free(key);
-		return pool;
+	for (i = 0; i < client->retired_pools->len; i++) {
+		pool_t *pool = client->retired_pools->pdata[i];
+
+		if (!pool->calls && now - pool->ended_at > POOL_REUSE_MS &&
+		    !strcmp(pool->address, address))
+			return g_ptr_array_steal_index_fast(
+				client->retired_pools, i);
 	}
-	pool = g_new0(pool_t, 1);
+	return NULL;
+}
+
+static pool_t *create_pool(http_client_t *client, const char *address,
+			   const char *host, int port)
+{
+	pool_t *pool = g_new0(pool_t, 1);
+	struct sockaddr_in addr;
+
+	pool->address = g_strdup(address);
 	uv_ip4_addr(host, port, &addr);
 	h2o_socketpool_init_by_address(&pool->sockets, (void *)&addr,
 				       sizeof(addr), 0, POOL_CAPACITY);
 	h2o_socketpool_set_timeout(&pool->sockets, client->loop,
 				   POOL_IDLE_MAX_MS);
-	g_hash_table_insert(client->pools, key, pool);
+	return pool;
+}
+
+static pool_t *pool_get(http_client_t *client, const char *host, int port)
+{
+	char *address = g_strdup_printf("%s:%d", host, port);
+	pool_t *pool = g_hash_table_lookup(client->pools, address);
+
+	if (!pool) {
+		pool = take_retired_pool(client, address);
+		if (!pool)
+			pool = create_pool(client, address, host, port);
+		g_hash_table_insert(client->pools, g_strdup(address), pool);
+	}
+	g_free(address);
 	return pool;
 }
 
--- a/t/t0811-front-silent-connections.sh
+++ b/t/t0811-front-silent-connections.sh
@@ -3,6 +3,11 @@
 # store and to the other instances went silent without a reset.
 . "$(dirname "$0")/lib/front.sh"
 
+# Memory that was freed is overwritten, so that its use does not go unnoticed.
+MALLOC_PERTURB_=85
+GLIBC_TUNABLES=glibc.malloc.tcache_count=0
+export MALLOC_PERTURB_ GLIBC_TUNABLES
+
 start_models
 instances='1 2 3'
 start_links
@@ -36,4 +41,9 @@
 # Leases are renewed on other connections: only the poll itself can notice.
 expect_change_after_kill waiting 2
 expect_change_after_kill all 3
+# Longer than connections are kept idle: what belonged to the first ones is gone.
+sleep 9
+expect_change_after_kill all 4
+sleep 9
+expect_change_after_kill all 5
 finish
