front: hold parts of prompts that crash engines

Callers saw streams cut off and requests refused for as long as requests with one part of a prompt came: each crashed the engine that began to answer it, one engine after the other, and took some twenty sound requests along.

Cause: nothing remembered what ran on an engine when it ended, so that each instance sent the next such request to the next engine.

Change: when the connection of a request ends early and nothing listens at the engine any more, the instance tells all others which shared parts of prompts ran there. A part that was there when three engines crashed one after the other, and in no request that was answered, is held for a minute, then twice as long: requests with it are refused at once and told when to come back. One answer in full, at any instance, clears a part; engines that crash at the same moment count less, since a rack takes sound parts along (route/quarantine, no I/O). An instance that connects is told what is held.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -57,6 +57,21 @@
 /* Identifies an admission in later calls; never 0. */
 typedef int64_t admission_id_t;
 
+/* What has been learned about parts of prompts; see route/quarantine.h. */
+typedef enum {
+	PARTS_CRASHED,	/* an engine crashed that processed them */
+	PARTS_ANSWERED, /* requests with them were answered in full */
+	PARTS_HELD,	/* requests with them are not sent */
+	PARTS_NEWS_COUNT
+} parts_news_t;
+
+typedef struct {
+	parts_news_t news;
+	const char *engine;	  /* of PARTS_CRASHED, else NULL */
+	ms_t time_left;		  /* of PARTS_HELD, else 0 */
+	const char *const *parts; /* NULL-terminated */
+} parts_message_t;
+
 typedef struct {
 	/*
 	 * The request may be sent; the engine has this version of the adapter.
@@ -82,6 +97,10 @@
 	 * changes it read; there may be none.
 	 */
 	void (*on_updates)(void *ctx, const store_updates_t *updates);
+	/* Another instance has learned something about parts of prompts. */
+	void (*on_parts)(void *ctx, const parts_message_t *message);
+	/* This instance has connected to another. */
+	void (*on_peer)(void *ctx, const char *instance);
 	/* An instance was registered, or its record is gone. */
 	void (*on_instance)(void *ctx, const char *instance, gboolean is_alive);
 	/* Returns the service of an engine, or NULL while it is unknown. */
@@ -190,4 +209,9 @@
 /* Appends members to the JSON object of /status. */
 void adapters_status(const adapters_t *adapters, GString *json);
 
+/* Sends what was learned about parts of prompts to an instance; NULL for all.
+ */
+void adapters_send_parts(adapters_t *adapters, const char *instance,
+			 const parts_message_t *message);
+
 #endif
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -249,6 +249,39 @@
 	g_array_free(items, TRUE);
 }
 
+/* Most parts in one message: those of all requests at one engine. */
+#define PARTS_MAX 4096
+
+static void handle_parts(adapters_t *adapters, conn_t *conn,
+			 codec_reader_t *reader)
+{
+	GPtrArray *parts = g_ptr_array_new_with_free_func(g_free);
+	parts_message_t message = {0};
+	char *engine;
+	codec_reader_t rows;
+
+	message.news =
+		(parts_news_t)codec_read_int(reader, 0, PARTS_NEWS_COUNT - 1);
+	message.engine = engine = codec_read_text(reader, NAME_MAX_BYTES);
+	message.time_left = codec_read_int(reader, 0, INT64_MAX);
+	codec_read_array(reader, &rows);
+	while (rows.left && !rows.is_failed && parts->len < PARTS_MAX) {
+		char *part = codec_read_text(&rows, NAME_MAX_BYTES);
+
+		if (part)
+			g_ptr_array_add(parts, part);
+	}
+	g_ptr_array_add(parts, NULL);
+	message.parts = (const char *const *)parts->pdata;
+	if (rows.is_failed || rows.left || !codec_read_end(reader) ||
+	    (message.news == PARTS_CRASHED && !engine))
+		log_malformed(conn_peer_instance(conn));
+	else
+		adapters->events.on_parts(adapters->ctx, &message);
+	g_ptr_array_free(parts, TRUE);
+	g_free(engine);
+}
+
 /* Handles a message of an instance that connected to this one. */
 static void on_request(void *ctx, conn_t *conn, const msgpack_object *message)
 {
@@ -264,6 +297,8 @@
 		handle_prefetch(ctx, conn, &reader);
 	else if (type == MESSAGE_UPDATES)
 		handle_updates(ctx, conn, &reader);
+	else if (type == MESSAGE_PARTS)
+		handle_parts(ctx, conn, &reader);
 	else
 		log_malformed(conn_peer_instance(conn));
 }
@@ -347,7 +382,10 @@
 
 static void on_peer_up(void *ctx, const char *name)
 {
+	adapters_t *adapters = ctx;
+
 	log_info("peer connected", "peer", name, NULL);
+	adapters->events.on_peer(adapters->ctx, name);
 }
 
 /* Fails all admissions that the holder has not granted, except one. */
@@ -611,3 +649,42 @@
 	if (adapters->peers)
 		peers_foreach(adapters->peers, send_updates, &broadcast);
 }
+
+typedef struct {
+	adapters_t *adapters;
+	const parts_message_t *message;
+} parts_broadcast_t;
+
+static void send_parts(void *ctx, const char *name, gboolean is_up)
+{
+	const parts_broadcast_t *broadcast = ctx;
+	const parts_message_t *message = broadcast->message;
+	uint32_t count = g_strv_length((char **)message->parts);
+	codec_writer_t writer;
+	uint32_t i;
+
+	if (!is_up)
+		return;
+	codec_write_init(&writer, MESSAGE_PARTS, 4);
+	codec_write_int(&writer, message->news);
+	codec_write_text(&writer, message->engine);
+	codec_write_int(&writer, message->time_left);
+	codec_write_array(&writer, count);
+	for (i = 0; i < count; i++)
+		codec_write_text(&writer, message->parts[i]);
+	peers_send(broadcast->adapters->peers, name, &writer);
+}
+
+void adapters_send_parts(adapters_t *adapters, const char *instance,
+			 const parts_message_t *message)
+{
+	parts_broadcast_t broadcast = {adapters, message};
+
+	if (!adapters->peers)
+		return;
+	if (instance)
+		send_parts(&broadcast, instance,
+			   peers_is_connected(adapters->peers, instance));
+	else
+		peers_foreach(adapters->peers, send_parts, &broadcast);
+}
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -23,7 +23,9 @@
 	MESSAGE_ADMITTED,
 	MESSAGE_QUEUED,
 	MESSAGE_REFUSED,
-	MESSAGE_UNLOADED
+	MESSAGE_UNLOADED,
+	/* Of any instance to all others, or to one that has just started. */
+	MESSAGE_PARTS
 } message_type_t;
 
 /* A message of a holder. */
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -259,6 +259,25 @@
 	return TRUE;
 }
 
+/*
+ * Ends the request at once if its prompt has a part that crashes engines.
+ * Returns whether it has ended.
+ */
+static gboolean end_if_held(forward_t *forward)
+{
+	ms_t time_left = front_parts_held(forward->front, forward->parts);
+
+	if (!time_left)
+		return FALSE;
+	forward->failure_reason = "the prompt has a part that crashes engines";
+	forward_release_endpoint(forward);
+	if (forward->is_answer_begun || forward->may_have_run)
+		forward_fail(forward);
+	else
+		forward_refuse(forward, time_left);
+	return TRUE;
+}
+
 static void forward_send(forward_t *forward)
 {
 	front_t *front = forward->front;
@@ -279,7 +298,7 @@
 	size_t size;
 	const char *body;
 
-	if (!count_transmission(forward, now)) {
+	if (end_if_held(forward) || !count_transmission(forward, now)) {
 		g_string_free(text, TRUE);
 		g_free(address);
 		return;
@@ -434,6 +453,8 @@
 	};
 	fleet_choice_t choice = {0};
 
+	if (end_if_held(forward))
+		return;
 	if (forward->is_missing)
 		query.again = fleet_find(front->fleet, forward->last_endpoint);
 	if (forward->admission_tries < ADMISSION_TRIES_MAX &&
@@ -575,6 +596,8 @@
 	forward->service = route_choose_service(route, front->rand);
 	headers_read_request(call_head(call), &forward->fields);
 	read_adapter(forward);
+	forward->parts = headers_shared_parts(
+		forward->model ? forward->fields.parts : NULL);
 	forward->is_stream = route->kind == ROUTE_STREAMING;
 	forward->is_idempotent = route->kind == ROUTE_IDEMPOTENT ||
 				 (forward->is_stream && route->is_resumable);
--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -206,6 +206,8 @@
 {
 	int status = forward->head->status;
 
+	if (is_success(forward) && is_valid_success(forward))
+		front_note_answered_parts(forward->front, forward->parts);
 	if (forward->is_answer_begun && is_success(forward)) {
 		fleet_endpoint_note_success(forward->endpoint);
 		relay_answer(forward);
@@ -244,6 +246,9 @@
 	g_byte_array_set_size(forward->buffered, 0);
 	g_string_truncate(forward->partial_event, 0);
 	fleet_endpoint_note_failure(forward->endpoint, forward_now(forward));
+	if (result != LINK_NOT_SENT)
+		front_note_cut_run(forward->front, forward->endpoint,
+				   forward->parts);
 	if (result == LINK_NOT_SENT) {
 		forward->endpoint_attempts--;
 		forward->transmissions--;
--- a/lib/front/forward_end.c
+++ b/lib/front/forward_end.c
@@ -12,6 +12,7 @@
 	g_free(forward->last_event_id);
 	g_free(forward->last_endpoint);
 	g_free(forward->model);
+	g_strfreev(forward->parts);
 	route_table_unref(forward->routes);
 	g_free(forward);
 }
--- a/lib/front/forward_private.h
+++ b/lib/front/forward_private.h
@@ -49,6 +49,7 @@
 	request_fields_t fields;
 	char *model;	     /* NULL unless the service runs engines */
 	const char *adapter; /* NULL for the base model */
+	char **parts; /* of its prompt; empty unless the service runs engines */
 	gboolean is_idempotent;
 	gboolean is_stream;
 	ms_t deadline_at; /* time when the request times out */
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -350,6 +350,8 @@
 		.on_refused = on_refused,
 		.on_adapter_unloaded = on_adapter_unloaded,
 		.on_updates = front_on_updates,
+		.on_parts = front_on_parts,
+		.on_peer = front_on_peer,
 		.on_instance = front_on_instance,
 		.service = service_of,
 		.declared = declared_of,
@@ -386,6 +388,7 @@
 		counter_get("hc_request_ends_total{outcome=\"failed\"}");
 	front->gone = counter_get("hc_request_ends_total{outcome=\"gone\"}");
 	front->repeats = counter_get("hc_repeats_total");
+	front->parts_held = counter_get("hc_prompt_parts_held_total");
 	front->first_byte_time = histogram_get("hc_first_byte_ms");
 	front->load_wait_time = histogram_get("hc_adapter_wait_ms");
 }
@@ -420,6 +423,9 @@
 	front->replica_requests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	front->updates = kv_items_create();
+	front->quarantine = quarantine_create();
+	front->crash_checks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	front->relay = create_relay(front);
 	front->admissions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  g_free, NULL);
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -14,6 +14,7 @@
 #include "hold/relay.h"
 #include "platform/headers.h"
 #include "route/fleet.h"
+#include "route/quarantine.h"
 #include "route/retry_budget.h"
 #include "route/route_table.h"
 
@@ -83,6 +84,9 @@
 	callers_t *callers;
 	links_t *links;
 	retry_budget_t *budget;
+	quarantine_t *quarantine;
+	/* Engines that may have crashed: id to crash_check_t. */
+	GHashTable *crash_checks;
 	http_server_t *ready;
 	http_server_t *metrics;
 	uv_timer_t sweeper;
@@ -99,6 +103,7 @@
 	counter_t *failed;
 	counter_t *gone;
 	counter_t *repeats;
+	counter_t *parts_held;
 	histogram_t *first_byte_time;
 	histogram_t *load_wait_time;
 };
@@ -133,6 +138,24 @@
 /* Divides the retry budget among the known instances. */
 void front_share_budget(front_t *front);
 
+/*
+ * front_parts.c: learns which parts of prompts crash engines, together with the
+ * other instances.  The lists of parts are NULL-terminated.
+ */
+
+/*
+ * The connection of a request with these parts has ended early.  If the engine
+ * takes no connection either, it has crashed.
+ */
+void front_note_cut_run(front_t *front, const fleet_endpoint_t *engine,
+			char *const *parts);
+/* A request with these parts was answered in full. */
+void front_note_answered_parts(front_t *front, char *const *parts);
+/* Returns how long requests with these parts are not sent; 0 if they may be. */
+ms_t front_parts_held(const front_t *front, char *const *parts);
+void front_on_parts(void *ctx, const parts_message_t *message);
+void front_on_peer(void *ctx, const char *instance);
+
 /* forward.c: forwards a request from its caller to an endpoint. */
 void forward_begin(front_t *front, call_t *call);
 void forward_on_caller_gone(forward_t *forward);
--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -95,6 +95,40 @@
 	}
 }
 
+/* The last part belongs to the request alone; unreadable ones are left out. */
+static void test_shared_parts(void **state)
+{
+	static const struct {
+		const char *text;
+		const char *ids; /* joined by spaces */
+	} cases[] = {
+		{"5c1e07a2:800,91BD3f06:410,e4402b7d:250", "5c1e07a2 91bd3f06"},
+		{"5c1e07a2, 91bd3f06:1,e4402b7d:250", "5c1e07a2 91bd3f06"},
+		{"5c1e07a2:800", ""},
+		{"", ""},
+		{NULL, ""},
+		{",:5,,a:1,b:2", "a"},
+	};
+	GString *many = g_string_new(NULL);
+	char *joined;
+	char **ids;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ids = headers_shared_parts(cases[i].text);
+		joined = g_strjoinv(" ", ids);
+		assert_string_equal(joined, cases[i].ids);
+		g_free(joined);
+		g_strfreev(ids);
+	}
+	for (i = 0; i < 3 * HEADERS_PARTS_MAX; i++)
+		g_string_append_printf(many, "%x:1,", i);
+	ids = headers_shared_parts(many->str);
+	assert_int_equal(g_strv_length(ids), HEADERS_PARTS_MAX);
+	g_strfreev(ids);
+	g_string_free(many, TRUE);
+}
+
 static const char listing[] =
 	"{\"service\":\"llm\",\"addr\":\"10.1.64.9:8384\",\"zone\":\"a\","
 	"\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"seq\":1,"
@@ -371,6 +405,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_configuration),
 		cmocka_unit_test(test_bad_configuration),
+		cmocka_unit_test(test_shared_parts),
 		cmocka_unit_test(test_endpoint),
 		cmocka_unit_test(test_bad_endpoint),
 		cmocka_unit_test(test_keys_and_versions),
