front: leave nothing of an attempt that timed out for the next one

Cause: an attempt that times out cancels its exchange, and the buffers were emptied only by the handler of an exchange that ends by itself. The state of one attempt is now one structure, cleared where the endpoint is released, however the attempt ends. Ruled out: bytes of the first connection that arrive later; a cancelled exchange has no owner and closes its connection.

Test: t0814, on the commit before: "half of anGET /read/x 0"; green now.

--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -212,8 +212,6 @@
 	if (now >= forward->deadline_at) {
 		on_deadline(forward);
 	} else if (now >= attempt_deadline(forward)) {
-		exchange_cancel(forward->exchange);
-		forward->exchange = NULL;
 		forward->failure_reason =
 			"no answer within the attempt timeout";
 		fleet_endpoint_note_failure(forward->endpoint, now);
@@ -314,9 +312,9 @@
 	forward->state = FORWARD_SENT;
 	forward->sent_at = now;
 	fleet_endpoint_begin(endpoint);
-	forward->exchange = links_send(front->links, endpoint, text,
-				       !strcmp(head->method, "HEAD"),
-				       &forward_link_events, forward);
+	forward->attempt.exchange = links_send(front->links, endpoint, text,
+					       !strcmp(head->method, "HEAD"),
+					       &forward_link_events, forward);
 	forward_set_timer(forward);
 }
 
@@ -606,8 +604,8 @@
 	forward->state = FORWARD_WAITING;
 	forward->tried = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)fleet_endpoint_unref);
-	forward->buffered = g_byte_array_new();
-	forward->partial_event = g_string_new(NULL);
+	forward->attempt.buffered = g_byte_array_new();
+	forward->attempt.partial_event = g_string_new(NULL);
 	uv_timer_init(process_loop(front->process), &forward->timer);
 	forward->timer.data = forward;
 	TAILQ_INSERT_TAIL(&front->forwards, forward, link);
--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -16,27 +16,31 @@
 	forward_t *forward = ctx;
 	endpoint_load_t *load;
 
-	headers_read_response(head, &forward->answer);
-	forward->head = head;
-	load = &forward->answer.load;
-	if (forward->answer.has_load)
+	headers_read_response(head, &forward->attempt.answer);
+	forward->attempt.head = head;
+	load = &forward->attempt.answer.load;
+	if (forward->attempt.answer.has_load)
 		fleet_endpoint_note_load(forward->endpoint,
 					 forward_now(forward), load);
-	exchange_set_idle(forward->exchange, forward->answer.idle_timeout);
+	exchange_set_idle(forward->attempt.exchange,
+			  forward->attempt.answer.idle_timeout);
 	/* The endpoint may send the answer to another request. */
-	if (forward->answer.id)
-		return !g_strcmp0(forward->answer.id, forward->fields.id);
+	if (forward->attempt.answer.id)
+		return !g_strcmp0(forward->attempt.answer.id,
+				  forward->fields.id);
 	return head->status >= 400;
 }
 
 static gboolean is_success(const forward_t *forward)
 {
-	return forward->head->status >= 200 && forward->head->status < 300;
+	return forward->attempt.head->status >= 200 &&
+	       forward->attempt.head->status < 300;
 }
 
 static gboolean is_valid_success(const forward_t *forward)
 {
-	return forward->answer.is_signed && !forward->answer.is_encoded;
+	return forward->attempt.answer.is_signed &&
+	       !forward->attempt.answer.is_encoded;
 }
 
 static void begin_answer(forward_t *forward, int64_t size)
@@ -49,7 +53,7 @@
 	forward->first_byte =
 		forward_now(forward) - call_arrived_at(forward->call);
 	histogram_add(front->first_byte_time, forward->first_byte);
-	call_begin(forward->call, forward->head, size);
+	call_begin(forward->call, forward->attempt.head, size);
 }
 
 /* Records the id of an event; text is the complete event. */
@@ -82,7 +86,7 @@
  */
 static gboolean relay_events(forward_t *forward, const char *data, size_t size)
 {
-	GString *event = forward->partial_event;
+	GString *event = forward->attempt.partial_event;
 	const char *end;
 
 	g_string_append_len(event, data, (gssize)size);
@@ -119,7 +123,7 @@
 /* Returns FALSE if an answer that can't be relayed in parts does not end. */
 static gboolean buffer_answer(forward_t *forward, const char *data, size_t size)
 {
-	GByteArray *buffered = forward->buffered;
+	GByteArray *buffered = forward->attempt.buffered;
 
 	g_byte_array_append(buffered, (const guint8 *)data, (guint)size);
 	if (buffered->len <= BUFFERED_MAX_BYTES)
@@ -152,12 +156,12 @@
 	call_t *call = forward->call;
 
 	if (!forward->is_answer_begun) {
-		begin_answer(forward, forward->buffered->len);
-		call_write(call, (const char *)forward->buffered->data,
-			   forward->buffered->len);
-	} else if (forward->partial_event->len) {
-		call_write(call, forward->partial_event->str,
-			   forward->partial_event->len);
+		begin_answer(forward, forward->attempt.buffered->len);
+		call_write(call, (const char *)forward->attempt.buffered->data,
+			   forward->attempt.buffered->len);
+	} else if (forward->attempt.partial_event->len) {
+		call_write(call, forward->attempt.partial_event->str,
+			   forward->attempt.partial_event->len);
 	}
 	forward_complete(forward);
 }
@@ -184,13 +188,12 @@
 
 static void discard_answer(forward_t *forward)
 {
-	int status = forward->head->status;
+	int status = forward->attempt.head->status;
 	ms_t now = forward_now(forward);
 
-	g_byte_array_set_size(forward->buffered, 0);
-	if (forward->answer.is_elsewhere && forward->model) {
+	if (forward->attempt.answer.is_elsewhere && forward->model) {
 		retry_missing_adapter(forward);
-	} else if (forward->answer.is_not_run) {
+	} else if (forward->attempt.answer.is_not_run) {
 		fleet_endpoint_note_full(forward->endpoint, now);
 		forward->failure_reason = "endpoint full";
 		forward_retry(forward, OUTCOME_NOT_RUN, ERROR_OVERLOADED);
@@ -204,7 +207,7 @@
 
 static void handle_complete_answer(forward_t *forward)
 {
-	int status = forward->head->status;
+	int status = forward->attempt.head->status;
 
 	if (is_success(forward) && is_valid_success(forward))
 		front_note_answered_parts(forward->front, forward->parts);
@@ -218,7 +221,8 @@
 		} else {
 			discard_answer(forward);
 		}
-	} else if (forward->is_answer_begun || forward->answer.is_not_run ||
+	} else if (forward->is_answer_begun ||
+		   forward->attempt.answer.is_not_run ||
 		   (status >= 500 && forward_may_retry(forward)) ||
 		   (status_means_not_run(status) && !forward->is_idempotent)) {
 		discard_answer(forward);
@@ -235,7 +239,7 @@
 {
 	forward_t *forward = ctx;
 
-	forward->exchange = NULL;
+	forward->attempt.exchange = NULL;
 	if (result == LINK_COMPLETE) {
 		handle_complete_answer(forward);
 		return;
@@ -243,8 +247,6 @@
 	g_strlcpy(forward->exchange_error, why,
 		  sizeof(forward->exchange_error));
 	forward->failure_reason = forward->exchange_error;
-	g_byte_array_set_size(forward->buffered, 0);
-	g_string_truncate(forward->partial_event, 0);
 	fleet_endpoint_note_failure(forward->endpoint, forward_now(forward));
 	if (result != LINK_NOT_SENT)
 		front_note_cut_run(forward->front, forward->endpoint,
--- a/lib/front/forward_end.c
+++ b/lib/front/forward_end.c
@@ -1,5 +1,7 @@
 #include "front/forward_private.h"
 
+#include <string.h>
+
 #include "base/log.h"
 
 static void on_timer_closed(uv_handle_t *handle)
@@ -7,8 +9,8 @@
 	forward_t *forward = handle->data;
 
 	g_ptr_array_free(forward->tried, TRUE);
-	g_byte_array_free(forward->buffered, TRUE);
-	g_string_free(forward->partial_event, TRUE);
+	g_byte_array_free(forward->attempt.buffered, TRUE);
+	g_string_free(forward->attempt.partial_event, TRUE);
 	g_free(forward->last_event_id);
 	g_free(forward->last_endpoint);
 	g_free(forward->model);
@@ -29,8 +31,21 @@
 	forward->admission = 0;
 }
 
+/* Bytes of a cancelled exchange that arrive later reach nobody. */
+static void end_attempt(attempt_t *attempt)
+{
+	if (attempt->exchange)
+		exchange_cancel(attempt->exchange);
+	attempt->exchange = NULL;
+	attempt->head = NULL;
+	memset(&attempt->answer, 0, sizeof(attempt->answer));
+	g_byte_array_set_size(attempt->buffered, 0);
+	g_string_truncate(attempt->partial_event, 0);
+}
+
 void forward_release_endpoint(forward_t *forward)
 {
+	end_attempt(&forward->attempt);
 	release_admission(forward);
 	if (!forward->endpoint)
 		return;
@@ -76,9 +91,6 @@
  */
 static void forward_finish(forward_t *forward)
 {
-	if (forward->exchange)
-		exchange_cancel(forward->exchange);
-	forward->exchange = NULL;
 	forward_release_endpoint(forward);
 	forward->state = FORWARD_ENDED;
 	TAILQ_REMOVE(&forward->front->forwards, forward, link);
@@ -154,7 +166,7 @@
 	call_t *call = forward->call;
 
 	counter_add(forward->front->answered, 1);
-	log_end(forward, "answered", forward->head->status);
+	log_end(forward, "answered", forward->attempt.head->status);
 	forward_finish(forward);
 	call_end(call);
 }
--- a/lib/front/forward_private.h
+++ b/lib/front/forward_private.h
@@ -39,6 +39,18 @@
 	FORWARD_ENDED
 } forward_state_t;
 
+/*
+ * What belongs to one attempt at an endpoint; forward_release_endpoint() clears
+ * it however the attempt ends, so that nothing of it is left for the next one.
+ */
+typedef struct {
+	exchange_t *exchange; /* NULL before it is sent and once it has ended */
+	const http1_head_t *head;
+	response_fields_t answer;
+	GByteArray *buffered;	/* body of an answer that is no stream */
+	GString *partial_event; /* incomplete event of a resumable stream */
+} attempt_t;
+
 struct forward {
 	TAILQ_ENTRY(forward) link;
 	front_t *front;
@@ -58,7 +70,7 @@
 	 * Endpoint that has the request, or whose holder was asked to admit it.
 	 */
 	fleet_endpoint_t *endpoint;
-	exchange_t *exchange;
+	attempt_t attempt;
 	char *last_endpoint;	  /* for the log */
 	GPtrArray *tried;	  /* fleet_endpoint_t not to be chosen again */
 	ms_t admission_due;	  /* when the holder's reply is overdue */
@@ -84,11 +96,7 @@
 	/* The newest attempt has certainly not run. */
 	gboolean is_known_not_run;
 	gboolean is_answer_begun; /* the caller was sent a head */
-	const http1_head_t *head;
-	response_fields_t answer;
-	GByteArray *buffered;
-	GString *partial_event; /* incomplete event of a resumable stream */
-	char *last_event_id;	/* last one sent to the caller */
+	char *last_event_id;	  /* last one sent to the caller */
 	ms_t admission_sent_at;
 	ms_t admission_wait; /* total time of waiting for admission */
 	ms_t sent_at;
@@ -142,7 +150,7 @@
 void forward_fail(forward_t *forward);
 /* The endpoint's answer was relayed completely. */
 void forward_complete(forward_t *forward);
-/* Releases the endpoint and the admission. */
+/* Ends the attempt, and releases the endpoint and the admission. */
 void forward_release_endpoint(forward_t *forward);
 /* The caller has disconnected. */
 void forward_on_caller_gone(forward_t *forward);
