route/fleet: heed endpoints that say they leave, or ask for quiet

The standing of an endpoint is answered in one place: open, gone, leaving, quiet. One that has said it leaves gets no further request, whatever its heartbeats say, until it is a new incarnation; one that asked for quiet gets none of this instance until its time is over, by a clock that does not jump. What waits for it in admission moves on at once. A date as Retry-After counts as none.

Not done: other instances are not told, each learns from its own answers and the store; orders and reports of an engine's holder are not held back.

--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -303,7 +303,7 @@
 	}
 	body = call_body(forward->call, &size);
 	g_assert(!forward->may_have_run || forward->is_idempotent);
-	g_assert(fleet_endpoint_is_usable(endpoint));
+	g_assert(fleet_endpoint_standing(endpoint, now) == STANDING_OPEN);
 	headers_render_request(text, head, &fields, size);
 	g_string_append_len(text, body, (gssize)size);
 	g_free(address);
@@ -423,6 +423,13 @@
 
 static void fail_without_endpoint(forward_t *forward)
 {
+	ms_t quiet = fleet_quiet_time(forward->front->fleet,
+				      forward_now(forward), forward->service);
+
+	if (quiet) {
+		forward->failure_reason = "all endpoints asked for quiet";
+		forward->retry_after = quiet;
+	}
 	if (!forward->failure_reason)
 		forward->failure_reason = "no usable endpoint";
 	if (forward->is_answer_begun)
@@ -514,7 +521,7 @@
 	if (forward->adapter)
 		fleet_endpoint_set_adapter(forward->endpoint, forward->adapter,
 					   version);
-	if (!fleet_endpoint_is_usable(forward->endpoint)) {
+	if (fleet_endpoint_standing(forward->endpoint, now) != STANDING_OPEN) {
 		try_other_endpoint(forward);
 		return;
 	}
--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/log.h"
+
 /*
  * Answers that are not streams are buffered up to this size, to verify that
  * they are complete before the caller receives a byte.
@@ -11,6 +13,37 @@
 /* Largest event of a stream; those of engines hold a few tokens. */
 #define EVENT_MAX_BYTES (64 * 1024)
 
+/* An endpoint that leaves or wants quiet says so in any answer. */
+static void note_standing(forward_t *forward)
+{
+	front_t *front = forward->front;
+	fleet_endpoint_t *endpoint = forward->endpoint;
+	const response_fields_t *answer = &forward->attempt.answer;
+	ms_t now = forward_now(forward);
+	standing_t before = fleet_endpoint_standing(endpoint, now);
+	char *quiet;
+
+	if (answer->is_leaving && before != STANDING_LEAVING) {
+		log_info("endpoint says it is leaving", "endpoint",
+			 fleet_endpoint_id(endpoint), NULL);
+		counter_add(front->leaving, 1);
+		fleet_endpoint_note_leaving(front->fleet, endpoint);
+	}
+	if (answer->quiet) {
+		quiet = g_strdup_printf("%" G_GINT64_FORMAT,
+					(gint64)answer->quiet);
+		log_info("endpoint asks for quiet", "endpoint",
+			 fleet_endpoint_id(endpoint), "ms", quiet, NULL);
+		g_free(quiet);
+		counter_add(front->quiet, 1);
+		fleet_endpoint_note_quiet(endpoint, now, answer->quiet);
+	}
+	/* What waits for it moves on at once. */
+	if (before == STANDING_OPEN &&
+	    fleet_endpoint_standing(endpoint, now) != STANDING_OPEN)
+		forward_on_endpoint_gone(front, fleet_endpoint_id(endpoint));
+}
+
 static gboolean on_head(void *ctx, const http1_head_t *head)
 {
 	forward_t *forward = ctx;
@@ -22,6 +55,7 @@
 	if (forward->attempt.answer.has_load)
 		fleet_endpoint_note_load(forward->endpoint,
 					 forward_now(forward), load);
+	note_standing(forward);
 	exchange_set_idle(forward->attempt.exchange,
 			  forward->attempt.answer.idle_timeout);
 	/* The endpoint may send the answer to another request. */
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -388,6 +388,8 @@
 		counter_get("hc_request_ends_total{outcome=\"failed\"}");
 	front->gone = counter_get("hc_request_ends_total{outcome=\"gone\"}");
 	front->repeats = counter_get("hc_repeats_total");
+	front->leaving = counter_get("hc_endpoints_said_leaving_total");
+	front->quiet = counter_get("hc_endpoints_asked_quiet_total");
 	front->parts_held = counter_get("hc_prompt_parts_held_total");
 	front->first_byte_time = histogram_get("hc_first_byte_ms");
 	front->load_wait_time = histogram_get("hc_adapter_wait_ms");
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -104,6 +104,8 @@
 	counter_t *gone;
 	counter_t *repeats;
 	counter_t *parts_held;
+	counter_t *leaving; /* endpoints that said so */
+	counter_t *quiet;   /* times that endpoints asked for it */
 	histogram_t *first_byte_time;
 	histogram_t *load_wait_time;
 };
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -67,6 +67,8 @@
 	char *failure_domain;
 	int64_t started_at;
 	gboolean is_usable;
+	gboolean has_said_leaving;
+	ms_t quiet_until;
 	char **models; /* NULL-terminated */
 	int places;
 	gboolean is_long_engine; /* reserved for long prompts */
@@ -216,7 +218,7 @@
 		g_hash_table_insert(fleet->endpoints, endpoint->id, endpoint);
 	}
 	was_candidate = is_long_candidate(endpoint);
-	endpoint->is_usable = !info->is_leaving;
+	endpoint->is_usable = !info->is_leaving && !endpoint->has_said_leaving;
 	g_strfreev(endpoint->models);
 	endpoint->models = g_strdupv((char **)info->models);
 	endpoint->places = MAX(info->places, 1);
@@ -282,6 +284,49 @@
 	return endpoint->is_usable;
 }
 
+standing_t fleet_endpoint_standing(const fleet_endpoint_t *endpoint, ms_t now)
+{
+	if (endpoint->has_said_leaving)
+		return STANDING_LEAVING;
+	if (!endpoint->is_usable)
+		return STANDING_GONE;
+	return now < endpoint->quiet_until ? STANDING_QUIET : STANDING_OPEN;
+}
+
+void fleet_endpoint_note_leaving(fleet_t *fleet, fleet_endpoint_t *endpoint)
+{
+	endpoint->has_said_leaving = TRUE;
+	endpoint->is_usable = FALSE;
+	g_hash_table_add(fleet->stale_services, g_strdup(endpoint->service));
+}
+
+void fleet_endpoint_note_quiet(fleet_endpoint_t *endpoint, ms_t now, ms_t time)
+{
+	endpoint->quiet_until = MAX(endpoint->quiet_until, now + time);
+}
+
+ms_t fleet_quiet_time(const fleet_t *fleet, ms_t now, const char *service)
+{
+	GHashTableIter iter;
+	gpointer value;
+	ms_t shortest = 0;
+
+	g_hash_table_iter_init(&iter, fleet->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const fleet_endpoint_t *endpoint = value;
+		standing_t standing = fleet_endpoint_standing(endpoint, now);
+		ms_t left = endpoint->quiet_until - now;
+
+		if (strcmp(endpoint->service, service))
+			continue;
+		if (standing == STANDING_OPEN)
+			return 0;
+		if (standing == STANDING_QUIET)
+			shortest = shortest ? MIN(shortest, left) : left;
+	}
+	return shortest;
+}
+
 int64_t fleet_endpoint_adapter(const fleet_endpoint_t *endpoint,
 			       const char *adapter)
 {
@@ -382,7 +427,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		fleet_endpoint_t *endpoint = value;
 
-		if (!endpoint->is_usable ||
+		if (fleet_endpoint_standing(endpoint, now) != STANDING_OPEN ||
 		    strcmp(endpoint->service, query->service) ||
 		    is_tried(query, endpoint) ||
 		    !fleet_endpoint_has_model(endpoint, query->model))
@@ -553,9 +598,10 @@
 		choose_engine(fleet, now, list, query, choice);
 }
 
-static gboolean may_choose_again(const fleet_query_t *query)
+static gboolean may_choose_again(const fleet_query_t *query, ms_t now)
 {
-	return query->again && query->again->is_usable &&
+	return query->again &&
+	       fleet_endpoint_standing(query->again, now) == STANDING_OPEN &&
 	       !is_tried(query, query->again) &&
 	       (!query->may_load || query->may_load(query->ctx, query->again));
 }
@@ -570,7 +616,7 @@
 		fleet->long_prompt_at = now;
 	if (g_hash_table_remove(fleet->stale_services, query->service))
 		select_long_engines(fleet, query->service);
-	if (may_choose_again(query)) {
+	if (may_choose_again(query, now)) {
 		choice->endpoint = query->again;
 		return;
 	}
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -88,6 +88,28 @@
 /* FALSE once the endpoint is leaving, gone or replaced. */
 gboolean fleet_endpoint_is_usable(const fleet_endpoint_t *endpoint);
 
+/* Whether an endpoint may be sent a request, and why not. */
+typedef enum {
+	STANDING_OPEN,
+	STANDING_GONE,	  /* unlisted, or listed as leaving */
+	STANDING_LEAVING, /* it said itself that it is leaving */
+	STANDING_QUIET	  /* it asked for a time without requests */
+} standing_t;
+
+standing_t fleet_endpoint_standing(const fleet_endpoint_t *endpoint, ms_t now);
+
+/* The endpoint says that it is leaving: for good, as this incarnation. */
+void fleet_endpoint_note_leaving(fleet_t *fleet, fleet_endpoint_t *endpoint);
+
+/* The endpoint wants no request of this instance for this time. */
+void fleet_endpoint_note_quiet(fleet_endpoint_t *endpoint, ms_t now, ms_t time);
+
+/*
+ * Returns the shortest time that an endpoint of the service still wants no
+ * request; 0 if one may be sent a request or none is known.
+ */
+ms_t fleet_quiet_time(const fleet_t *fleet, ms_t now, const char *service);
+
 /* Returns the version of the adapter that is resident there, or 0. */
 int64_t fleet_endpoint_adapter(const fleet_endpoint_t *endpoint,
 			       const char *adapter);
--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -400,12 +400,57 @@
 	http1_reader_destroy(message.reader);
 }
 
+static void test_retry_after(void **state)
+{
+	static const struct {
+		const char *value;
+		ms_t quiet;
+	} cases[] = {
+		{"3", 3000},
+		{"0.5", 500},
+		{"0", 0},
+		{"-2", 0},
+		{"", 0},
+		{"soon", 0},
+		{"3 s", 0},
+		{"1e400", 3600000},
+		{"99999999999", 3600000},
+		{"Fri, 04 Dec 2026 22:00:00 GMT", 0},
+	};
+	response_fields_t fields;
+	message_t message;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf(
+			"HTTP/1.1 503 X\r\nRetry-After: %s\r\n"
+			"Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+			cases[i].value);
+
+		read_message(&message, HTTP1_RESPONSES, text);
+		headers_read_response(message.head, &fields);
+		assert_int_equal(fields.quiet, cases[i].quiet);
+		assert_true(fields.is_leaving);
+		http1_reader_destroy(message.reader);
+		g_free(text);
+	}
+	/* Of an answer that refuses nothing it means something else. */
+	read_message(&message, HTTP1_RESPONSES,
+		     "HTTP/1.1 429 X\r\nRetry-After: 3\r\n"
+		     "Server-Leaving: 0\r\nContent-Length: 0\r\n\r\n");
+	headers_read_response(message.head, &fields);
+	assert_int_equal(fields.quiet, 0);
+	assert_false(fields.is_leaving);
+	http1_reader_destroy(message.reader);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_configuration),
 		cmocka_unit_test(test_bad_configuration),
 		cmocka_unit_test(test_shared_parts),
+		cmocka_unit_test(test_retry_after),
 		cmocka_unit_test(test_endpoint),
 		cmocka_unit_test(test_bad_endpoint),
 		cmocka_unit_test(test_keys_and_versions),
--- a/t/unit/test-route.c
+++ b/t/unit/test-route.c
@@ -519,6 +519,34 @@
 	fleet_destroy(fleet);
 }
 
+/* What an endpoint says of itself holds for its incarnation, or for the time.
+ */
+static void test_leaving_and_quiet(void **state)
+{
+	fleet_t *fleet = fleet_create("a");
+	fleet_endpoint_t *first = add_endpoint(fleet, "e1", 1);
+	fleet_endpoint_t *second = add_endpoint(fleet, "e2", 1);
+
+	assert_int_equal(fleet_quiet_time(fleet, 0, "assist"), 0);
+	fleet_endpoint_note_leaving(fleet, first);
+	/* A heartbeat says that it is ready. */
+	add_endpoint(fleet, "e1", 1);
+	assert_int_equal(fleet_endpoint_standing(first, 0), STANDING_LEAVING);
+	assert_ptr_equal(choose(fleet, 0, NULL, NULL).endpoint, second);
+	fleet_endpoint_note_quiet(second, 1000, 3000);
+	/* A shorter time does not end a longer one. */
+	fleet_endpoint_note_quiet(second, 1500, 500);
+	assert_int_equal(fleet_endpoint_standing(second, 3999), STANDING_QUIET);
+	assert_null(choose(fleet, 3999, NULL, NULL).endpoint);
+	assert_int_equal(fleet_quiet_time(fleet, 3000, "assist"), 1000);
+	assert_ptr_equal(choose(fleet, 4000, NULL, NULL).endpoint, second);
+	assert_int_equal(fleet_quiet_time(fleet, 4000, "assist"), 0);
+	/* The next incarnation under the same id. */
+	first = add_endpoint(fleet, "e1", 2);
+	assert_int_equal(fleet_endpoint_standing(first, 4000), STANDING_OPEN);
+	fleet_destroy(fleet);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -526,6 +554,7 @@
 		cmocka_unit_test(test_split_by_weight),
 		cmocka_unit_test(test_retry_budget_of_fleet),
 		cmocka_unit_test(test_least_loaded),
+		cmocka_unit_test(test_leaving_and_quiet),
 		cmocka_unit_test(test_failing_is_ejected),
 		cmocka_unit_test(test_new_incarnation),
 		cmocka_unit_test(test_adapter_affinity),
