front: take a stream that ends inside an event for broken off

Callers got such a stream as complete, or, where it may be resumed, the half event.

Whether a stream is inside an event is told by its last bytes, however it is framed; then the attempt counts as broken: the stream is resumed where its route allows it, else the caller's answer is cut off. Nothing was wrong with texts: a connection that ends in order completes them, a reset does not (test-link, and here).

Test: t0816 with a stand-in that speaks it, with hc-front of: curl's exit status is 0 and not 18 for a stream that ends inside an event; green now.

--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -10,6 +10,9 @@
  */
 #define BUFFERED_MAX_BYTES (256 * 1024)
 
+/* The bytes of "\r\n\r\n". */
+#define EVENT_END_BYTES_MAX 4
+
 /* Largest event of a stream; those of engines hold a few tokens. */
 #define EVENT_MAX_BYTES (64 * 1024)
 
@@ -144,10 +147,27 @@
 	forward->last_data_at = now;
 }
 
+/* An event ends with an empty line. */
+static void note_event_end(attempt_t *attempt, const char *data, size_t size)
+{
+	size_t i;
+
+	for (i = size > EVENT_END_BYTES_MAX ? size - EVENT_END_BYTES_MAX : 0;
+	     i < size; i++) {
+		if (data[i] == '\r')
+			continue;
+		attempt->tail[0] = attempt->tail[1];
+		attempt->tail[1] = data[i];
+	}
+	attempt->is_inside_event =
+		attempt->tail[0] != '\n' || attempt->tail[1] != '\n';
+}
+
 static gboolean relay_stream(forward_t *forward, const char *data, size_t size)
 {
 	begin_answer(forward, -1);
 	forward_set_timer(forward);
+	note_event_end(&forward->attempt, data, size);
 	if (forward->route->is_resumable)
 		return relay_events(forward, data, size);
 	call_write(forward->call, data, size);
@@ -193,9 +213,6 @@
 		begin_answer(forward, forward->attempt.buffered->len);
 		call_write(call, (const char *)forward->attempt.buffered->data,
 			   forward->attempt.buffered->len);
-	} else if (forward->attempt.partial_event->len) {
-		call_write(call, forward->attempt.partial_event->str,
-			   forward->attempt.partial_event->len);
 	}
 	forward_complete(forward);
 }
@@ -239,10 +256,26 @@
 	}
 }
 
+/*
+ * A stream that ends inside an event was broken off, whatever its framing says:
+ * one with neither a length nor chunks ends with its connection in any case.
+ */
+static void handle_broken_stream(forward_t *forward)
+{
+	fleet_endpoint_note_failure(forward->endpoint, forward_now(forward));
+	front_note_cut_run(forward->front, forward->endpoint, forward->parts);
+	forward->failure_reason = "stream ended inside an event";
+	forward_retry(forward, OUTCOME_UNKNOWN, ERROR_INTERRUPTED);
+}
+
 static void handle_complete_answer(forward_t *forward)
 {
 	int status = forward->attempt.head->status;
 
+	if (forward->attempt.is_inside_event) {
+		handle_broken_stream(forward);
+		return;
+	}
 	if (is_success(forward) && is_valid_success(forward))
 		front_note_answered_parts(forward->front, forward->parts);
 	if (forward->is_answer_begun && is_success(forward)) {
--- a/lib/front/forward_end.c
+++ b/lib/front/forward_end.c
@@ -41,6 +41,8 @@
 	memset(&attempt->answer, 0, sizeof(attempt->answer));
 	g_byte_array_set_size(attempt->buffered, 0);
 	g_string_truncate(attempt->partial_event, 0);
+	attempt->is_inside_event = FALSE;
+	memset(attempt->tail, 0, sizeof(attempt->tail));
 }
 
 void forward_release_endpoint(forward_t *forward)
