--- a/t/t0805-front-soak.sh
+++ b/t/t0805-front-soak.sh
@@ -7,8 +7,8 @@
 # their answers, restart and leave; the store is unreachable or silent, drops its
 # history and loses answers; orders are late; the configuration changes.  Links of
 # an instance to the store, to each endpoint and from its peers are delayed, muted,
-# cut in one direction and reset.  Faults overlap.  Clients send requests throughout,
-# some of them on persistent connections.  Checked at the end, from the records of
+# cut in one direction, reset and silenced for good.  Faults overlap.  Clients send
+# requests throughout, some of them on persistent connections.  Checked at the end, from the records of
 # clients and endpoints:
 #
 #  - no request that may not be repeated ran twice;
@@ -221,6 +221,7 @@
 	2) link "$link" mode=mute_to ;;
 	3) link "$link" mode=mute_from ;;
 	4) link "$link" reset=1 ;;
+	5) link "$link" kill=all ;;
 	esac
 }
 peer_event () {
@@ -234,6 +235,7 @@
 	2) link "$peer" mode=mute_to ;;
 	3) link "$peer" mode=mute_from ;;
 	4) link "$peer" reset=1 ;;
+	5) link "$peer" kill=all ;;
 	esac
 }
 mend_peer () {
