--- a/lib/route/quarantine.h
+++ b/lib/route/quarantine.h
@@ -38,7 +38,7 @@
 #define QUARANTINE_SCORE_PROVEN_MAX 10
 
 /* Crashes less apart than this are at the same moment. */
-#define QUARANTINE_SAME_MOMENT_MS 100
+#define QUARANTINE_SAME_MOMENT_MS 20
 
 /* Without another crash a suspicion ends after this time. */
 #define QUARANTINE_SUSPICION_MS 60000
