--- a/t/unit/test-quarantine.c
+++ b/t/unit/test-quarantine.c
@@ -69,7 +69,7 @@
 	for (rack = 0; rack < 3; rack++) {
 		now += 4000;
 		for (i = 0; i < 8; i++) {
-			char engine[16];
+			char engine[32];
 
 			snprintf(engine, sizeof(engine), "e%d-%d", rack, i);
 			quarantine_note_crash(quarantine, now + i, "rare",
