hold/relay: count the age of a broadcast from the poll behind it

Callers could get a request handled as an older configuration says, after a newer one had to be in force (CONFIG), while the instances that poll for the others were in trouble and the one that handled it was well.

Cause: an instance that receives broadcasts leaves out its own polls for 1.2 to 1.8 s, and counted that from the arrival of the newest broadcast. One that was held up on its way, or that a slow poller sent late, passed for new, so that the time was added to its age.

Change: a broadcast carries the time at which the poll behind it was complete, by the sender's steady clock. The receiver takes the quickest broadcast of a sender as its scale and what another one takes longer as its age; clocks that drift or start anew are provided for, and a broadcast of an older build, or the first of a sender, has no known age. The poll is made when what is known is 2.5 intervals old, and no longer at the next tick after it.

Ruled out, by reading: an older version by the document's number, since the store loses nothing and takes no older one; a document refused for one part, since the store takes valid ones only, and what it may leave out has a default in platform/decode.

Test: test_late_broadcast of test-relay.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -17,6 +17,7 @@
 #include <glib.h>
 
 #include "hold/admission_queue.h"
+#include "hold/relay.h"
 #include "kv/kv.h"
 #include "route/fleet.h"
 #include "route/route_table.h"
@@ -30,10 +31,9 @@
 
 typedef struct adapters adapters_t;
 
-/* Changes of the key-value service after revision from, up to revision to. */
+/* Changes of the key-value service. */
 typedef struct {
-	int64_t from;
-	int64_t to;
+	relay_range_t range;
 	const kv_item_t *items;
 	size_t count;
 } store_updates_t;
@@ -96,7 +96,8 @@
 	 * The instance that polls the key-value service for all has sent the
 	 * changes it read; there may be none.
 	 */
-	void (*on_updates)(void *ctx, const store_updates_t *updates);
+	void (*on_updates)(void *ctx, const char *sender,
+			   const store_updates_t *updates);
 	/* Another instance has learned something about parts of prompts. */
 	void (*on_parts)(void *ctx, const parts_message_t *message);
 	/* This instance has connected to another. */
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -223,8 +223,8 @@
 	store_updates_t updates = {0};
 	codec_reader_t rows;
 
-	updates.from = codec_read_int(reader, 0, INT64_MAX);
-	updates.to = codec_read_int(reader, 0, INT64_MAX);
+	updates.range.from = codec_read_int(reader, 0, INT64_MAX);
+	updates.range.to = codec_read_int(reader, 0, INT64_MAX);
 	codec_read_array(reader, &rows);
 	while (rows.left && !rows.is_failed && items->len < UPDATE_ITEMS_MAX) {
 		kv_item_t item = {0};
@@ -242,10 +242,13 @@
 	}
 	updates.items = (const kv_item_t *)(const void *)items->data;
 	updates.count = items->len;
+	updates.range.as_of = reader->left ? codec_read_int(reader, 0, MS_NEVER)
+					   : RELAY_AGE_UNKNOWN;
 	if (rows.is_failed || rows.left || !codec_read_end(reader))
 		log_malformed(conn_peer_instance(conn));
 	else
-		adapters->events.on_updates(adapters->ctx, &updates);
+		adapters->events.on_updates(adapters->ctx,
+					    conn_peer_instance(conn), &updates);
 	g_array_free(items, TRUE);
 }
 
@@ -625,9 +628,9 @@
 	for (i = 0; i < updates->count; i++)
 		members +=
 			UPDATE_ITEM_FIELDS + (updates->items[i].value != NULL);
-	codec_write_init(&writer, MESSAGE_UPDATES, 3);
-	codec_write_int(&writer, updates->from);
-	codec_write_int(&writer, updates->to);
+	codec_write_init(&writer, MESSAGE_UPDATES, 4);
+	codec_write_int(&writer, updates->range.from);
+	codec_write_int(&writer, updates->range.to);
 	codec_write_array(&writer, members);
 	for (i = 0; i < updates->count; i++) {
 		const kv_item_t *item = &updates->items[i];
@@ -639,6 +642,7 @@
 		if (item->value)
 			codec_write_bytes(&writer, item->value, item->size);
 	}
+	codec_write_int(&writer, updates->range.as_of);
 	peers_send(broadcast->adapters->peers, name, &writer);
 }
 
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -27,8 +27,11 @@
  */
 #define POLL_INTERVAL_PERCENT 30
 
-/* Holds even if all instances that poll for the others fail at once. */
-G_STATIC_ASSERT((RELAY_TIMEOUT_POLLS + 1) * POLL_INTERVAL_PERCENT < 100);
+/*
+ * Even if all instances that poll for the others fail at once, a fifth of that
+ * time is left for a poll.
+ */
+G_STATIC_ASSERT(RELAY_AGE_MAX_PERCENT *POLL_INTERVAL_PERCENT / 100 <= 80);
 
 /* Interval of checks for changed settings and expired endpoints. */
 #define SWEEP_MS 500
@@ -318,7 +321,7 @@
 		.clock = front->clock,
 		.rand = front->rand,
 		.poll_interval = front_poll_interval,
-		.may_skip = front_may_skip_poll,
+		.skip_time = front_poll_skip_time,
 		.on_polled = front_on_polled,
 		.on_contact = front_on_store_contact,
 		.ctx = front,
--- a/lib/front/front_items.c
+++ b/lib/front/front_items.c
@@ -209,20 +209,20 @@
 	};
 
 	if (relay_prepare_broadcast(front->relay, updates_size(front),
-				    &updates.from, &updates.to) &&
+				    &updates.range) &&
 	    front->adapters) {
-		if (updates.from == updates.to)
+		if (updates.range.from == updates.range.to)
 			updates.count = 0;
 		adapters_send_updates(front->adapters, &updates);
 	}
 	g_array_set_size(front->updates, 0);
 }
 
-void front_on_polled(void *ctx, int64_t revision)
+void front_on_polled(void *ctx, int64_t revision, ms_t as_of)
 {
 	front_t *front = ctx;
 
-	relay_note_poll(front->relay, revision);
+	relay_note_poll(front->relay, revision, as_of);
 	broadcast_updates(front);
 }
 
@@ -231,15 +231,15 @@
 	return relay_poll_interval(((front_t *)ctx)->relay);
 }
 
-gboolean front_may_skip_poll(void *ctx, ms_t last)
+ms_t front_poll_skip_time(void *ctx, ms_t last)
 {
 	front_t *front = ctx;
 
-	return relay_may_skip_poll(front->relay, ms_clock_now(front->clock),
-				   last);
+	return relay_skip_time(front->relay, ms_clock_now(front->clock), last);
 }
 
-void front_on_updates(void *ctx, const store_updates_t *updates)
+void front_on_updates(void *ctx, const char *sender,
+		      const store_updates_t *updates)
 {
 	front_t *front = ctx;
 	size_t i;
@@ -247,7 +247,7 @@
 	if (!mirror_is_synced(front->mirror))
 		return;
 	if (!relay_receive_broadcast(front->relay, ms_clock_now(front->clock),
-				     updates->from, updates->to)) {
+				     sender, &updates->range)) {
 		mirror_poll_now(front->mirror);
 		return;
 	}
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -121,15 +121,16 @@
  * Called after each poll, also one without changes: the range of revisions
  * tells the others that they need no poll.
  */
-void front_on_polled(void *ctx, int64_t revision);
+void front_on_polled(void *ctx, int64_t revision, ms_t as_of);
 /* Returns the time until the next poll. */
 ms_t front_poll_interval(void *ctx);
 /*
- * Returns whether a poll may be skipped because another instance sends the
- * changes.
+ * Returns for how long a poll may still be left out because another instance
+ * sends the changes.
  */
-gboolean front_may_skip_poll(void *ctx, ms_t last);
-void front_on_updates(void *ctx, const store_updates_t *updates);
+ms_t front_poll_skip_time(void *ctx, ms_t last);
+void front_on_updates(void *ctx, const char *sender,
+		      const store_updates_t *updates);
 void front_on_instance(void *ctx, const char *instance, gboolean is_alive);
 void front_on_store_contact(void *ctx, gboolean is_lost);
 /*
--- a/lib/hold/relay.h
+++ b/lib/hold/relay.h
@@ -20,6 +20,12 @@
  * broadcast, since the poll that named its successor may have returned further
  * updates.
  *
+ * A poller may be slow and a broadcast may be held up on its way, so what it
+ * says is as old as the poll behind it, not as its arrival.  It carries the
+ * time of that poll by the sender's clock.  The receiver takes the quickest
+ * broadcast of each sender for one without delay, and what another one takes
+ * longer for its age.  The first one of a sender only sets that scale.
+ *
  * A broadcast to all instances occupies the sender's network link ahead of all
  * other traffic.  Updates too large for that are not broadcast: the broadcast
  * then covers an empty range that starts after them, so that each of the others
@@ -42,11 +48,15 @@
 #define RELAY_POLLERS 2
 
 /*
- * An instance that has received no broadcast for this many poll intervals polls
- * for itself.  It notices that up to one interval late, and three intervals are
- * less than the time in which updates have to be acted on.
+ * Age of what an instance knows at which it polls for itself, in percent of a
+ * poll interval.  A poller that waits for an update broadcasts every other
+ * interval.
+ */
+#define RELAY_AGE_MAX_PERCENT 250
+
+/* Most by which the steady clocks of two machines differ in speed, as a share.
  */
-#define RELAY_TIMEOUT_POLLS 2
+#define RELAY_DRIFT_MAX 0.0005
 
 /*
  * An instance that receives broadcasts still polls once in this many poll
@@ -72,6 +82,20 @@
 	double link_bytes_per_s; /* bandwidth of the instance's own link */
 } relay_options_t;
 
+/* What a broadcast says of itself. */
+typedef struct {
+	/* All updates after revision from up to revision to are in it. */
+	int64_t from;
+	int64_t to;
+	/*
+	 * No update after revision to had been made then, by the sender's
+	 * clock; RELAY_AGE_UNKNOWN if the sender does not tell.
+	 */
+	ms_t as_of;
+} relay_range_t;
+
+#define RELAY_AGE_UNKNOWN (-1)
+
 relay_t *relay_create(const relay_options_t *options);
 void relay_destroy(relay_t *relay);
 
@@ -85,29 +109,34 @@
 /* This instance has read all items, as of this revision. */
 void relay_note_full_read(relay_t *relay, int64_t revision);
 
-/* A poll has returned all updates up to this revision. */
-void relay_note_poll(relay_t *relay, int64_t revision);
+/*
+ * A poll has returned all updates up to this revision, which were all that
+ * existed at the time as_of.
+ */
+void relay_note_poll(relay_t *relay, int64_t revision, ms_t as_of);
 
 /*
  * To be called after each poll; size is the size of the updates in bytes.
- * Returns whether to broadcast.  If so, the updates since the last call are
- * those after revision *from up to revision *to.  If the two are equal, the
- * broadcast carries no updates.
+ * Returns whether to broadcast.  If so, *range tells which the updates since
+ * the last call are.  If its revisions are equal, the broadcast carries none.
  */
-gboolean relay_prepare_broadcast(relay_t *relay, size_t size, int64_t *from,
-				 int64_t *to);
+gboolean relay_prepare_broadcast(relay_t *relay, size_t size,
+				 relay_range_t *range);
 
 /*
- * Handles a broadcast of the updates after from up to to.  Returns FALSE if
- * updates before it are missing here; its items must then be ignored.
+ * Handles a broadcast of the instance named sender.  Returns FALSE if updates
+ * before it are missing here; its items must then be ignored.
  */
-gboolean relay_receive_broadcast(relay_t *relay, ms_t now, int64_t from,
-				 int64_t to);
+gboolean relay_receive_broadcast(relay_t *relay, ms_t now, const char *sender,
+				 const relay_range_t *range);
 
 /* Returns the time from the last poll to the next one. */
 ms_t relay_poll_interval(const relay_t *relay);
 
-/* Whether a poll that is due may be skipped; last is the time of the last. */
-gboolean relay_may_skip_poll(const relay_t *relay, ms_t now, ms_t last);
+/*
+ * Returns for how long a poll that is due may still be left out, 0 if not at
+ * all; last is the time of the last poll.
+ */
+ms_t relay_skip_time(const relay_t *relay, ms_t now, ms_t last);
 
 #endif
--- a/t/unit/test-relay.c
+++ b/t/unit/test-relay.c
@@ -15,6 +15,11 @@
 /* The slowest link of any site: 10 Mbit/s. */
 #define LINK_BYTES_PER_S 1.25e6
 
+#define AGE_MAX_MS (POLL_MS * RELAY_AGE_MAX_PERCENT / 100)
+
+/* The clock of the poller ahead of the one here. */
+#define CLOCK_AHEAD_MS 7000000
+
 static const char *name_of(int n)
 {
 	static char name[16];
@@ -36,6 +41,18 @@
 	return relay;
 }
 
+/*
+ * A broadcast of the updates after from up to to arrives; the poll behind it
+ * was made at the time polled_at.
+ */
+static gboolean receive(relay_t *relay, ms_t now, ms_t polled_at, int64_t from,
+			int64_t to)
+{
+	relay_range_t range = {from, to, polled_at + CLOCK_AHEAD_MS};
+
+	return relay_receive_broadcast(relay, now, "poller", &range);
+}
+
 /* In a large fleet all choose the same pollers, and replace those that die. */
 static void test_pollers_are_few(void **state)
 {
@@ -80,6 +97,15 @@
 	return -1;
 }
 
+/* A relay that is no poller and has received one broadcast without delay. */
+static relay_t *create_receiver(ms_t now)
+{
+	relay_t *relay = create_relay(find_instance(FALSE));
+
+	assert_true(receive(relay, now, now, 0, 0));
+	return relay;
+}
+
 /*
  * An instance polls rarely while it receives broadcasts, and at the full rate
  * if it does not, or if the others do not know it.
@@ -90,38 +116,112 @@
 	relay_t *relay = create_relay(i);
 	ms_t now = 100000;
 
-	assert_false(relay_may_skip_poll(relay, now, now));
-	assert_true(relay_receive_broadcast(relay, now, 0, 0));
-	assert_true(relay_may_skip_poll(relay, now + POLL_MS, now));
+	assert_int_equal(relay_skip_time(relay, now, now), 0);
+	assert_true(receive(relay, now - 1, now - 1, 0, 0));
+	assert_true(receive(relay, now, now, 0, 0));
+	assert_int_equal(relay_skip_time(relay, now + POLL_MS, now),
+			 AGE_MAX_MS - POLL_MS);
 	/* It still polls now and then. */
-	assert_false(relay_may_skip_poll(
-		relay, now + POLL_MS, now - RELAY_SKIPPED_POLLS_MAX * POLL_MS));
+	assert_int_equal(
+		relay_skip_time(relay, now + POLL_MS,
+				now + POLL_MS -
+					RELAY_SKIPPED_POLLS_MAX * POLL_MS),
+		0);
 	/* All pollers died. */
-	assert_false(relay_may_skip_poll(relay,
-					 now + RELAY_TIMEOUT_POLLS * POLL_MS,
-					 now + RELAY_TIMEOUT_POLLS * POLL_MS));
-	assert_true(relay_receive_broadcast(relay, now, 0, 0));
+	assert_int_equal(
+		relay_skip_time(relay, now + AGE_MAX_MS, now + AGE_MAX_MS), 0);
+	assert_true(receive(relay, now, now, 0, 0));
 	relay_set_instance(relay, name_of(i), FALSE);
-	assert_false(relay_may_skip_poll(relay, now, now));
+	assert_int_equal(relay_skip_time(relay, now, now), 0);
 	relay_destroy(relay);
 }
 
 /* A broadcast was lost, or the pollers have changed. */
 static void test_lost_broadcast(void **state)
 {
-	relay_t *relay = create_relay(find_instance(FALSE));
 	ms_t now = 100000;
+	relay_t *relay = create_receiver(now);
 
 	relay_note_full_read(relay, 5);
-	assert_true(relay_receive_broadcast(relay, now, 5, 7));
-	assert_true(relay_may_skip_poll(relay, now, now));
-	assert_false(relay_receive_broadcast(relay, now, 9, 10));
-	assert_false(relay_may_skip_poll(relay, now, now));
-	relay_note_poll(relay, 11);
-	assert_true(relay_receive_broadcast(relay, now, 10, 12));
-	assert_true(relay_receive_broadcast(relay, now, 8, 9));
-	assert_true(relay_receive_broadcast(relay, now, 12, 12));
-	assert_true(relay_may_skip_poll(relay, now, now));
+	assert_true(receive(relay, now, now, 5, 7));
+	assert_true(relay_skip_time(relay, now, now) > 0);
+	assert_false(receive(relay, now, now, 9, 10));
+	assert_int_equal(relay_skip_time(relay, now, now), 0);
+	relay_note_poll(relay, 11, now);
+	assert_true(receive(relay, now, now, 10, 12));
+	assert_true(receive(relay, now, now, 8, 9));
+	assert_true(receive(relay, now, now, 12, 12));
+	assert_true(relay_skip_time(relay, now, now) > 0);
+	relay_destroy(relay);
+}
+
+/*
+ * Guards against a change that is in force too late because a broadcast that
+ * was held up, or that a slow poller sent late, passed for new: its time on the
+ * way counts as its age.
+ */
+static void test_late_broadcast(void **state)
+{
+	ms_t late = POLL_MS;
+	ms_t now = 100000;
+	relay_t *relay = create_receiver(now);
+	ms_t polled_at = now + POLL_MS;
+
+	now = polled_at + late;
+	assert_true(receive(relay, now, polled_at, 0, 0));
+	assert_int_equal(relay_skip_time(relay, now, now), AGE_MAX_MS - late);
+	/* As late again: the delay is no new scale. */
+	polled_at += POLL_MS;
+	now += POLL_MS;
+	assert_true(receive(relay, now, polled_at, 0, 0));
+	assert_in_range(relay_skip_time(relay, now, now), AGE_MAX_MS - late,
+			AGE_MAX_MS - late + 1);
+	/* Later than all that may be skipped. */
+	polled_at = now;
+	now += AGE_MAX_MS + 1;
+	assert_true(receive(relay, now, polled_at, 0, 0));
+	assert_int_equal(relay_skip_time(relay, now, now), 0);
+	relay_destroy(relay);
+}
+
+/*
+ * Guards against trust in a broadcast whose age can't be told: the first one of
+ * a poller, or after its machine started anew, or one of an older build.
+ */
+static void test_broadcast_of_unknown_age(void **state)
+{
+	relay_range_t unknown = {0, 0, RELAY_AGE_UNKNOWN};
+	ms_t now = 100000;
+	relay_t *relay = create_receiver(now);
+
+	assert_int_equal(relay_skip_time(relay, now, now), 0);
+	assert_true(relay_receive_broadcast(relay, now, "older", &unknown));
+	assert_true(relay_receive_broadcast(relay, now, "older", &unknown));
+	assert_int_equal(relay_skip_time(relay, now, now), 0);
+	/* The clock of the poller's machine starts anew. */
+	assert_true(receive(relay, now, now - CLOCK_AHEAD_MS, 0, 0));
+	assert_int_equal(relay_skip_time(relay, now, now), 0);
+	now += POLL_MS;
+	assert_true(receive(relay, now, now - CLOCK_AHEAD_MS, 0, 0));
+	assert_int_equal(relay_skip_time(relay, now, now), AGE_MAX_MS);
+	relay_destroy(relay);
+}
+
+/* A day of broadcasts of a poller whose clock is slower than the one here. */
+static void test_slow_clock(void **state)
+{
+	ms_t start = 100000;
+	relay_t *relay = create_receiver(start);
+	ms_t now = start;
+	ms_t day = 24 * 3600 * MS_PER_S;
+
+	while (now < start + day) {
+		ms_t behind = (now - start) / 10000;
+
+		now += POLL_MS;
+		assert_true(receive(relay, now, now - behind, 0, 0));
+		assert_true(relay_skip_time(relay, now, now) >= AGE_MAX_MS - 1);
+	}
 	relay_destroy(relay);
 }
 
@@ -132,36 +232,35 @@
 static void test_large_update(void **state)
 {
 	relay_t *relay = create_relay(find_instance(TRUE));
-	relay_t *receiver = create_relay(find_instance(FALSE));
+	ms_t now = 100000;
+	relay_t *receiver = create_receiver(now);
 	size_t small = (size_t)(LINK_BYTES_PER_S * RELAY_BROADCAST_MAX_MS /
 				MS_PER_S / INSTANCES);
-	ms_t now = 100000;
-	int64_t from;
-	int64_t to;
+	relay_range_t range;
 
 	relay_note_full_read(relay, 10);
 	relay_note_full_read(receiver, 10);
-	relay_note_poll(relay, 11);
-	assert_true(relay_prepare_broadcast(relay, small, &from, &to));
-	assert_int_equal(from, 10);
-	assert_int_equal(to, 11);
-	assert_true(relay_receive_broadcast(receiver, now, from, to));
-	assert_true(relay_may_skip_poll(receiver, now, now));
-
-	relay_note_poll(relay, 12);
-	assert_true(relay_prepare_broadcast(relay, small + 1, &from, &to));
-	assert_int_equal(from, 12);
-	assert_int_equal(to, 12);
-	assert_false(relay_receive_broadcast(receiver, now, from, to));
-	assert_false(relay_may_skip_poll(receiver, now, now));
+	relay_note_poll(relay, 11, now + CLOCK_AHEAD_MS);
+	assert_true(relay_prepare_broadcast(relay, small, &range));
+	assert_int_equal(range.from, 10);
+	assert_int_equal(range.to, 11);
+	assert_true(relay_receive_broadcast(receiver, now, "poller", &range));
+	assert_true(relay_skip_time(receiver, now, now) > 0);
+
+	relay_note_poll(relay, 12, now + CLOCK_AHEAD_MS);
+	assert_true(relay_prepare_broadcast(relay, small + 1, &range));
+	assert_int_equal(range.from, 12);
+	assert_int_equal(range.to, 12);
+	assert_false(relay_receive_broadcast(receiver, now, "poller", &range));
+	assert_int_equal(relay_skip_time(receiver, now, now), 0);
 
 	/* After a poll the next broadcast leaves no gap. */
-	relay_note_poll(receiver, 12);
-	relay_note_poll(relay, 13);
-	assert_true(relay_prepare_broadcast(relay, small, &from, &to));
-	assert_int_equal(from, 12);
-	assert_true(relay_receive_broadcast(receiver, now, from, to));
-	assert_true(relay_may_skip_poll(receiver, now, now));
+	relay_note_poll(receiver, 12, now);
+	relay_note_poll(relay, 13, now + CLOCK_AHEAD_MS);
+	assert_true(relay_prepare_broadcast(relay, small, &range));
+	assert_int_equal(range.from, 12);
+	assert_true(relay_receive_broadcast(receiver, now, "poller", &range));
+	assert_true(relay_skip_time(receiver, now, now) > 0);
 	relay_destroy(receiver);
 	relay_destroy(relay);
 }
@@ -174,8 +273,8 @@
 {
 	int returning = find_instance(TRUE);
 	relay_t *relay = NULL;
-	int64_t from;
-	int64_t to;
+	relay_range_t range;
+	ms_t now = 100000;
 	int i;
 
 	for (i = 0; i < INSTANCES; i++) {
@@ -190,17 +289,17 @@
 	}
 	relay_set_instance(relay, name_of(returning), FALSE);
 	relay_note_full_read(relay, 10);
-	assert_true(relay_prepare_broadcast(relay, 0, &from, &to));
-	assert_int_equal(from, 10);
-	assert_int_equal(to, 10);
+	assert_true(relay_prepare_broadcast(relay, 0, &range));
+	assert_int_equal(range.from, 10);
+	assert_int_equal(range.to, 10);
 	relay_set_instance(relay, name_of(returning), TRUE);
 	assert_false(relay_is_poller(relay));
-	relay_note_poll(relay, 12);
-	assert_true(relay_prepare_broadcast(relay, 0, &from, &to));
-	assert_int_equal(from, 10);
-	assert_int_equal(to, 12);
-	relay_note_poll(relay, 13);
-	assert_false(relay_prepare_broadcast(relay, 0, &from, &to));
+	relay_note_poll(relay, 12, now);
+	assert_true(relay_prepare_broadcast(relay, 0, &range));
+	assert_int_equal(range.from, 10);
+	assert_int_equal(range.to, 12);
+	relay_note_poll(relay, 13, now);
+	assert_false(relay_prepare_broadcast(relay, 0, &range));
 	relay_destroy(relay);
 }
 
@@ -221,7 +320,7 @@
 	relay_note_full_read(relay, 1);
 	assert_int_equal(relay_poll_interval(relay), RELAY_FIRST_POLL_MS);
 	while ((now += relay_poll_interval(relay)) < STARTUP_MS) {
-		relay_note_poll(relay, ++polls);
+		relay_note_poll(relay, ++polls, now);
 		assert_in_range(relay_poll_interval(relay), RELAY_FIRST_POLL_MS,
 				POLL_MS);
 	}
@@ -236,6 +335,9 @@
 		cmocka_unit_test(test_pollers_are_few),
 		cmocka_unit_test(test_poll_rate),
 		cmocka_unit_test(test_lost_broadcast),
+		cmocka_unit_test(test_late_broadcast),
+		cmocka_unit_test(test_broadcast_of_unknown_age),
+		cmocka_unit_test(test_slow_clock),
 		cmocka_unit_test(test_large_update),
 		cmocka_unit_test(test_successor),
 		cmocka_unit_test(test_start_of_large_fleet),
