front: send no orders or reports to an engine that asked for quiet

An engine that refuses a request with 503 and Retry-After wants nothing of that instance for so long.

Cause: the time of quiet was looked at where requests are sent, not where orders are: the holder asked whether the engine is usable, which is TRUE then.

Change: orders need the standing "open", like requests, and no report is asked for before the end of the time. A request whose adapter would have to be loaded there is refused admission at once, so that it goes to another engine; one whose adapter is there is admitted, since the engine asked only this instance.

Not done: a Retry-After of an answer to an order or a report is not read.

--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -322,7 +322,7 @@
 	const adapters_t *adapters = held->adapters;
 
 	return !adapters->is_stopping &&
-	       fleet_endpoint_is_usable(held->endpoint) &&
+	       fleet_endpoint_standing(held->endpoint, now) == STANDING_OPEN &&
 	       engine_locks_may_order(adapters->engine_locks, now,
 				      lease_valid_until(adapters->lease),
 				      held->id);
@@ -439,6 +439,10 @@
 	sync_incarnation(held);
 	if (!held->cache)
 		return;
+	if (fleet_endpoint_standing(held->endpoint, now) == STANDING_QUIET)
+		adapter_cache_delay_report(
+			held->cache,
+			fleet_endpoint_quiet_until(held->endpoint));
 	if (now >= held->next_call_at)
 		adapter_cache_tick(held->cache, now, may_order(held, now));
 	advance_admissions(held, now);
--- a/lib/hold/adapter_cache.h
+++ b/lib/hold/adapter_cache.h
@@ -211,6 +211,9 @@
 void adapter_cache_handle_report(adapter_cache_t *cache, ms_t now,
 				 const cache_report_t *report);
 
+/* Asks for no report before this time. */
+void adapter_cache_delay_report(adapter_cache_t *cache, ms_t until);
+
 /*
  * Performs the actions that are due.  may_order says whether orders may be sent
  * now.  If not, requests without an order in progress are refused.
--- a/lib/hold/adapter_cache_order.c
+++ b/lib/hold/adapter_cache_order.c
@@ -196,6 +196,11 @@
 	}
 }
 
+void adapter_cache_delay_report(adapter_cache_t *cache, ms_t until)
+{
+	cache->next_report_at = MAX(cache->next_report_at, until);
+}
+
 void adapter_cache_tick(adapter_cache_t *cache, ms_t now, gboolean may_order)
 {
 	presume_loaded(cache, now);
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -305,6 +305,11 @@
 	endpoint->quiet_until = MAX(endpoint->quiet_until, now + time);
 }
 
+ms_t fleet_endpoint_quiet_until(const fleet_endpoint_t *endpoint)
+{
+	return endpoint->quiet_until;
+}
+
 ms_t fleet_quiet_time(const fleet_t *fleet, ms_t now, const char *service)
 {
 	GHashTableIter iter;
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -101,8 +101,13 @@
 /* The endpoint says that it is leaving: for good, as this incarnation. */
 void fleet_endpoint_note_leaving(fleet_t *fleet, fleet_endpoint_t *endpoint);
 
-/* The endpoint wants no request of this instance for this time. */
+/*
+ * The endpoint wants nothing of this instance for this time: no request, order
+ * or report.
+ */
 void fleet_endpoint_note_quiet(fleet_endpoint_t *endpoint, ms_t now, ms_t time);
+/* Returns the end of that time; in the past if there is none. */
+ms_t fleet_endpoint_quiet_until(const fleet_endpoint_t *endpoint);
 
 /*
  * Returns the shortest time that an endpoint of the service still wants no
