standin/link_proxy: break off answers after any byte, and soak it

The soak breaks off and stops answers of the store and of endpoints, and compares the bodies of plain answers.

--- a/lib/standin/link_proxy.c
+++ b/lib/standin/link_proxy.c
@@ -20,6 +20,15 @@
 	[LINK_PROXY_MUTE_FROM] = "mute_from",
 };
 
+typedef enum { CUT_NONE, CUT_END, CUT_RESET, CUT_SILENT, CUT_COUNT } cut_t;
+
+static const char *const cut_names[CUT_COUNT] = {
+	[CUT_NONE] = "none",
+	[CUT_END] = "end",
+	[CUT_RESET] = "reset",
+	[CUT_SILENT] = "silent",
+};
+
 /* Queued data; size END_OF_STREAM marks the end of the stream. */
 typedef struct chunk {
 	TAILQ_ENTRY(chunk) link;
@@ -54,6 +63,8 @@
 	int open_handles;
 	gboolean is_connected;
 	gboolean is_dead;    /* delivers nothing any more */
+	cut_t cut;	     /* of what comes from the target */
+	size_t cut_left;     /* bytes that pass before */
 	gboolean is_waiting; /* the last bytes came from the caller */
 	gboolean is_closing;
 } pair_t;
@@ -68,6 +79,8 @@
 	struct pair_list pairs;
 	link_proxy_mode_t mode;
 	ms_t delay;
+	cut_t cut; /* of each connection */
+	size_t cut_bytes;
 	int open_handles;
 };
 
@@ -127,6 +140,57 @@
 
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buf);
 
+static void queue_chunk(pair_t *pair, int to, const char *data, size_t size)
+{
+	side_t *side = &pair->sides[to];
+	chunk_t *chunk = g_malloc0(sizeof(*chunk) + size);
+
+	chunk->due = (ms_t)uv_now(pair->proxy->loop) + pair->proxy->delay;
+	chunk->size = size;
+	if (size)
+		memcpy(chunk->data, data, size);
+	TAILQ_INSERT_TAIL(&side->queue, chunk, link);
+	side->queued_bytes += size;
+}
+
+static gboolean is_cut_off(const pair_t *pair)
+{
+	return pair->cut != CUT_NONE && !pair->cut_left;
+}
+
+/* Cuts the connection off once all that passes before has been forwarded. */
+static void complete_cut(pair_t *pair)
+{
+	if (!is_cut_off(pair) || !TAILQ_EMPTY(&pair->sides[CALLER].queue))
+		return;
+	if (pair->cut == CUT_RESET)
+		pair_close(pair, TRUE);
+	else if (pair->cut == CUT_SILENT)
+		pair->is_dead = TRUE;
+}
+
+/* Queues what the target has sent, up to the cut. */
+static void queue_answer(pair_t *pair, const char *data, size_t size)
+{
+	link_proxy_t *proxy = pair->proxy;
+	size_t passing = size;
+
+	if (is_cut_off(pair))
+		return;
+	if (size && pair->cut == CUT_NONE) {
+		pair->cut = proxy->cut;
+		pair->cut_left = proxy->cut_bytes;
+	}
+	if (pair->cut != CUT_NONE) {
+		passing = MIN(size, pair->cut_left);
+		pair->cut_left -= passing;
+	}
+	if (passing || !size)
+		queue_chunk(pair, CALLER, data, passing);
+	if (is_cut_off(pair) && pair->cut == CUT_END)
+		queue_chunk(pair, CALLER, NULL, END_OF_STREAM);
+}
+
 /* Forwards the data that is due to one side. */
 static void forward_due_chunks(pair_t *pair, int to, ms_t now)
 {
@@ -168,8 +232,6 @@
 	side_t *from = stream->data;
 	pair_t *pair = from->pair;
 	int to = from == &pair->sides[CALLER] ? TARGET : CALLER;
-	side_t *side = &pair->sides[to];
-	chunk_t *chunk;
 
 	if (size == 0 || (size < 0 && size != UV_EOF)) {
 		g_free(buf->base);
@@ -179,15 +241,12 @@
 	}
 	pair->is_waiting = to == TARGET;
 	size = MAX(size, END_OF_STREAM);
-	chunk = g_malloc0(sizeof(*chunk) + (size_t)size);
-	chunk->due = (ms_t)uv_now(pair->proxy->loop) + pair->proxy->delay;
-	chunk->size = (size_t)size;
-	if (size)
-		memcpy(chunk->data, buf->base, (size_t)size);
+	if (to == CALLER)
+		queue_answer(pair, buf->base, (size_t)size);
+	else
+		queue_chunk(pair, to, buf->base, (size_t)size);
 	g_free(buf->base);
-	TAILQ_INSERT_TAIL(&side->queue, chunk, link);
-	side->queued_bytes += chunk->size;
-	if (side->queued_bytes >= QUEUED_BYTES_MAX) {
+	if (pair->sides[to].queued_bytes >= QUEUED_BYTES_MAX) {
 		from->is_paused = TRUE;
 		uv_read_stop(stream);
 	}
@@ -252,6 +311,8 @@
 			if (pair->is_closing)
 				break;
 		}
+		if (!pair->is_closing)
+			complete_cut(pair);
 	}
 }
 
@@ -349,6 +410,24 @@
 	}
 }
 
+gboolean link_proxy_set_cut(link_proxy_t *proxy, size_t bytes, const char *way)
+{
+	pair_t *pair;
+	int i;
+
+	for (i = 0; i < CUT_COUNT && strcmp(way, cut_names[i]); i++)
+		;
+	if (i == CUT_COUNT)
+		return FALSE;
+	proxy->cut = (cut_t)i;
+	proxy->cut_bytes = bytes;
+	TAILQ_FOREACH (pair, &proxy->pairs, link) {
+		if (!is_cut_off(pair))
+			pair->cut = CUT_NONE;
+	}
+	return TRUE;
+}
+
 void link_proxy_reset(link_proxy_t *proxy)
 {
 	while (!TAILQ_EMPTY(&proxy->pairs))
--- a/lib/standin/link_proxy.h
+++ b/lib/standin/link_proxy.h
@@ -4,7 +4,8 @@
 /*
  * A TCP proxy on the loopback network that injects network faults into the link
  * between a program and a server: delay, loss in one or both directions, reset
- * connections, and connections that go silent for good.
+ * connections, connections that go silent for good, and answers that are cut
+ * off at any byte.
  *
  * Data and ends of streams that are blocked are forwarded in order once the
  * link is open again.  The proxy accepts new connections in every mode, as if
@@ -55,6 +56,13 @@
  */
 void link_proxy_kill(link_proxy_t *proxy, gboolean is_waiting_only);
 
+/*
+ * Cuts off what comes from the target from now on: after this many bytes, a
+ * connection ends in order ("end"), is reset ("reset"), or goes silent for good
+ * ("silent").  "none" ends that.  Returns FALSE if there is no such way.
+ */
+gboolean link_proxy_set_cut(link_proxy_t *proxy, size_t bytes, const char *way);
+
 /* Resets all connections, on both sides. */
 void link_proxy_reset(link_proxy_t *proxy);
 
--- a/standin/standin-proxy.c
+++ b/standin/standin-proxy.c
@@ -14,9 +14,10 @@
 #include "standin/link_proxy.h"
 #include "standin/program.h"
 
-#define EXIT_USAGE   2
-#define BODY_MAX     1024
-#define DELAY_MAX_MS 60000
+#define EXIT_USAGE    2
+#define BODY_MAX      1024
+#define DELAY_MAX_MS  60000
+#define CUT_MAX_BYTES 1000000
 
 static const char usage[] = "usage: standin-proxy NAME=HOST:PORT...\n"
 			    "\n"
@@ -87,10 +88,16 @@
 	const char *kill = http_request_query(request, "kill");
 	link_proxy_t *link =
 		name ? g_hash_table_lookup(proxies->links, name) : NULL;
+	const char *cut = http_request_query(request, "cut");
+	const char *way = http_request_query(request, "as");
 	int delay_ms;
+	int cut_bytes;
 
 	if (!link ||
 	    (delay && !standin_parse_number(delay, DELAY_MAX_MS, &delay_ms)) ||
+	    (cut && !standin_parse_number(cut, CUT_MAX_BYTES, &cut_bytes)) ||
+	    (cut &&
+	     !link_proxy_set_cut(link, (size_t)cut_bytes, way ? way : "")) ||
 	    (mode && !link_proxy_set_mode(link, mode)))
 		return FALSE;
 	if (delay)
@@ -105,7 +112,7 @@
 static void on_control(void *ctx, http_request_t *request)
 {
 	static const char done[] = "done\n";
-	static const char invalid[] = "no such link, mode or delay\n";
+	static const char invalid[] = "no such link, mode, delay or cut\n";
 	gboolean is_applied = apply_control(ctx, request);
 	const char *text = is_applied ? done : invalid;
 
--- a/t/t0004-standin-proxy.sh
+++ b/t/t0004-standin-proxy.sh
@@ -99,10 +99,36 @@
 0
 END
 
+# Cut off after a byte of the answer.  curl reports an end as 52.
+for as in end reset silent
+do
+	control "cut=1&as=$as" >"$work/control"
+	order "eleven-$as" 1
+done >"$work/cut"
+expect 'an answer is cut off in three ways' cat "$work/cut" <<\END
+000
+52
+000
+56
+000
+28
+END
+control 'cut=100000&as=end' >"$work/control"
+expect 'an answer that is shorter passes whole' order twelve <<\END
+200
+0
+END
+control 'cut=0&as=silent' >"$work/control"
+control 'cut=0&as=none' >"$work/control"
+expect 'a cut is taken back' order thirteen <<\END
+200
+0
+END
+
 expect 'an unknown mode changes nothing' eval \
 	'control mode=open; control mode=shut; order ten' <<\END
 done
-no such link, mode or delay
+no such link, mode, delay or cut
 200
 0
 END
--- a/t/t0805-front-soak.sh
+++ b/t/t0805-front-soak.sh
@@ -7,13 +7,14 @@
 # their answers, restart and leave; the store is unreachable or silent, drops its
 # history and loses answers; orders are late; the configuration changes.  Links of
 # an instance to the store, to each endpoint and from its peers are delayed, muted,
-# cut in one direction, reset and silenced for good.  Faults overlap.  Clients send
-# requests throughout, some of them on persistent connections.  Checked at the end, from the records of
-# clients and endpoints:
+# cut in one direction, reset and silenced for good, and answers on them break off or
+# stall after some bytes.  Faults overlap.  Clients send requests throughout, some of
+# them on persistent connections.  Checked at the end, from the records of clients and
+# endpoints:
 #
 #  - no request that may not be repeated ran twice;
 #  - no refused request has run;
-#  - no incomplete answer looked complete;
+#  - no incomplete answer looked complete, and no answer had a byte of another;
 #  - no order broke a rule of the engines;
 #  - requests are served again within the bound after the last fault.
 #
@@ -56,6 +57,15 @@
 	random_state=$other_state
 }
 
+cut_state=$SEED
+cut_random () {
+	other_state=$random_state
+	random_state=$cut_state
+	random "$1"
+	cut_state=$random_state
+	random_state=$other_state
+}
+
 start_models --events 12 --event-ms 15
 start_links
 write_config 1
@@ -72,8 +82,16 @@
 }
 wait_for served
 
+# The pieces of a stream; 1 for the body of a plain answer, and 0 for another body.
+count_pieces () {
+	case $1 in
+	read) test "$(cat "$2" 2>/dev/null)" = 'GET /read/x 0' && echo 1 || echo 0 ;;
+	write) test "$(cat "$2" 2>/dev/null)" = 'POST /write/x 5' && echo 1 || echo 0 ;;
+	*) grep -c '^data: piece' "$2" 2>/dev/null ;;
+	esac
+}
 # Each client writes a line per request: kind, identifier, HTTP status, exit status
-# of curl, pieces or bytes.
+# of curl, pieces.
 client () {
 	number=0
 	while test ! -e "$work/end"
@@ -102,7 +120,7 @@
 			-H 'X-Hawthorncross-Deadline-Ms: 3000' "$@")
 		code=$?
 		set -- "$me"
-		pieces=$(grep -c '^data: piece' "$work/body$me" 2>/dev/null)
+		pieces=$(count_pieces "$kind" "$work/body$me")
 		echo "$kind $id $status $code ${pieces:-0}"
 		rm -f "$work/body$me"
 		sleep 0.02
@@ -141,8 +159,7 @@
 		done
 		curl "$@" | while read -r kind id status code part
 		do
-			pieces=$(grep -c '^data: piece' "$work/kept$me-$part" \
-				2>/dev/null)
+			pieces=$(count_pieces "$kind" "$work/kept$me-$part")
 			echo "$kind $id $status $code ${pieces:-0}"
 		done
 		rm -f "$work/kept$me-"*
@@ -222,8 +239,16 @@
 	3) link "$link" mode=mute_from ;;
 	4) link "$link" reset=1 ;;
 	5) link "$link" kill=all ;;
+	6) cut_link "$link" silent ;;
+	7) cut_link "$link" reset ;;
+	8) cut_link "$link" end ;;
 	esac
 }
+# Within a head, a body or a page of items.
+cut_link () {
+	cut_random 700
+	link "$1" "cut=$random_value&as=$2"
+}
 peer_event () {
 	peer_random "$INSTANCES"
 	peer=peer$((random_value + 1))
@@ -247,8 +272,8 @@
 # tolerates for 300 ms and the model does not.  Late orders are a fault of their own.
 mend_link () {
 	case $1 in
-	store*|peer*) link "$1" 'mode=open&delay_ms=0' ;;
-	*) link "$1" 'mode=open&delay_ms=0&reset=1' ;;
+	store*|peer*) link "$1" 'mode=open&delay_ms=0&cut=0&as=none' ;;
+	*) link "$1" 'mode=open&delay_ms=0&cut=0&as=none&reset=1' ;;
 	esac
 }
 # Ends one of the faults, chosen at random.
@@ -336,8 +361,8 @@
 expect "seed $SEED: no refused request has run" refused_and_ran <<\END
 END
 looked_whole () {
-	awk '($1 == "stream" || $1 == "resume") && $3 == 200 && $4 == 0 &&
-		$5 != 12' "$work/requests"
+	awk '$3 == 200 && $4 == 0 &&
+		$5 != ($1 == "stream" || $1 == "resume" ? 12 : 1)' "$work/requests"
 }
 expect "seed $SEED: no incomplete answer looked complete" looked_whole <<\END
 END
--- a/t/t0814-front-stalled-answer.sh
+++ b/t/t0814-front-stalled-answer.sh
@@ -3,9 +3,14 @@
 # caller, who gets the answer of the next endpoint alone.
 . "$(dirname "$0")/lib/front.sh"
 
+instances=1
 start_models
+start_links
 # The goal is 200 ms, so that an attempt times out after 400 ms.
 write_config 1
+# Each stalled answer is followed by a repeat.
+front_settings 1
+sed -i 's/"grace_s"/"repeat_slack": 100, &/' "$work/front1.json"
 start_front 1
 
 get () {
@@ -41,6 +46,33 @@
 }
 stalled_runs || fail 'no attempt met the stalled endpoint'
 
+# A body with a length stops after some of its bytes, or its head does.
+size=$(curl -s -i "http://$(model desk-1)/read/x" \
+	-H "X-Hawthorncross-Request-Id: $$-00-000000000" | wc -c)
+cut_near_end () {
+	for bytes in 16 13 10 7 4 1
+	do
+		for stalling in desk-1 desk-2
+		do
+			link "$stalling" "cut=$((size - bytes))&as=silent"
+			get
+			get
+			link "$stalling" 'cut=0&as=none'
+		done
+		# Until the endpoint is chosen again after its failures.
+		sleep 0.6
+	done | sort | uniq -c | tr -s ' '
+}
+sent_twice () {
+	grep -c '"route":"read".*"sends":"2"' "$work/front1.out"
+}
+before=$(sent_twice)
+expect 'only the whole answer after a part of a body with a length' cut_near_end <<\END
+ 24 200
+ 24 GET /read/x 0
+END
+test "$(sent_twice)" -ge $((before + 3)) || fail 'too few attempts met the cut'
+
 # A stream that stops inside its first event.
 control engine-1 mode=stall
 control engine-2 mode=stall
