front: give the head of a resumable stream with its first event

A caller of a stream that may be resumed got a head, nothing more, and a broken connection when the route's time was over, if the engine stopped inside the first event; and a broken connection at once if the engine ended there. Another engine could have served it.

Cause: the head was passed on with the first byte of the answer, though events are passed on only when they are complete. From then on the attempt had no time limit of its own, and could not be repeated, as no event could be named to go on from.

Change: the head goes with the first complete event. Until then the request is repeated like any that may be.

--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -90,6 +90,8 @@
 	forward->first_byte =
 		forward_now(forward) - call_arrived_at(forward->call);
 	histogram_add(front->first_byte_time, forward->first_byte);
+	/* The attempt has no time limit of its own any more. */
+	forward_set_timer(forward);
 	call_begin(forward->call, forward->attempt.head, size);
 }
 
@@ -119,7 +121,9 @@
 
 /*
  * Relays complete events only, so that the stream can be resumed at another
- * endpoint.  Returns FALSE if an event does not end.
+ * endpoint; and no head before the first of them, so that until then the
+ * request can be sent to another endpoint as if there had been no answer.
+ * Returns FALSE if an event does not end.
  */
 static gboolean relay_events(forward_t *forward, const char *data, size_t size)
 {
@@ -130,6 +134,7 @@
 	while ((end = strstr(event->str, "\n\n"))) {
 		size_t length = (size_t)(end - event->str) + 2;
 
+		begin_answer(forward, -1);
 		record_event_id(forward, event->str, length);
 		call_write(forward->call, event->str, length);
 		g_string_erase(event, 0, (gssize)length);
@@ -165,11 +170,10 @@
 
 static gboolean relay_stream(forward_t *forward, const char *data, size_t size)
 {
-	begin_answer(forward, -1);
-	forward_set_timer(forward);
 	note_event_end(&forward->attempt, data, size);
 	if (forward->route->is_resumable)
 		return relay_events(forward, data, size);
+	begin_answer(forward, -1);
 	call_write(forward->call, data, size);
 	return TRUE;
 }
--- a/t/t0814-front-stalled-answer.sh
+++ b/t/t0814-front-stalled-answer.sh
@@ -73,7 +73,7 @@
 END
 test "$(sent_twice)" -ge $((before + 3)) || fail 'too few attempts met the cut'
 
-# A stream that stops inside its first event.
+# A stream that stops inside its first event, which the caller has seen nothing of.
 control engine-1 mode=stall
 control engine-2 mode=stall
 ask 1 /resume/x -X POST -d prompt -H 'X-Hawthorncross-Model: base' \
@@ -83,5 +83,21 @@
 control engine-1 mode=ok
 control engine-2 mode=ok
 wait "$asking"
-grep -q half "$work/stream" && fail 'the caller got half of an event'
+events () {
+	cat "$work/code"
+	grep -v '^$' "$work/stream"
+}
+expect 'only the whole stream' events <<\END
+200
+id: 0
+data: piece 0
+id: 1
+data: piece 1
+id: 2
+data: piece 2
+id: 3
+data: piece 3
+id: 4
+data: piece 4
+END
 finish
