front: find the end of events whose lines end with CRLF

A caller of a stream that may be resumed got 200 and an empty stream, complete by its framing, if the lines of its events ended with CR and LF; other streams were passed on.

Cause: events of such streams are passed on when they are complete, and only two LF in a row were taken for the end of one; the check for streams that end inside an event knew both.

Change: an empty line ends an event, also one of CR and LF; a zero byte within an event does not hide its end either. Ruled out: platform's servers were not seen to send CRLF; the format of event streams allows it.

--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -119,6 +119,25 @@
 	}
 }
 
+/*
+ * Returns the size of the first event with the empty line that ends it; 0 if it
+ * is not complete.  Lines end with LF or CRLF.
+ */
+static size_t event_size(const char *text, size_t size)
+{
+	const char *end = text + size;
+	const char *line = text;
+
+	while ((line = memchr(line, '\n', (size_t)(end - line)))) {
+		line++;
+		if (line + 1 < end && line[0] == '\r' && line[1] == '\n')
+			return (size_t)(line + 2 - text);
+		if (line < end && line[0] == '\n')
+			return (size_t)(line + 1 - text);
+	}
+	return 0;
+}
+
 /*
  * Relays complete events only, so that the stream can be resumed at another
  * endpoint; and no head before the first of them, so that until then the
@@ -128,12 +147,10 @@
 static gboolean relay_events(forward_t *forward, const char *data, size_t size)
 {
 	GString *event = forward->attempt.partial_event;
-	const char *end;
+	size_t length;
 
 	g_string_append_len(event, data, (gssize)size);
-	while ((end = strstr(event->str, "\n\n"))) {
-		size_t length = (size_t)(end - event->str) + 2;
-
+	while ((length = event_size(event->str, event->len))) {
 		begin_answer(forward, -1);
 		record_event_id(forward, event->str, length);
 		call_write(forward->call, event->str, length);
--- a/t/t0816-front-unframed-answer.sh
+++ b/t/t0816-front-unframed-answer.sh
@@ -64,4 +64,15 @@
 0
 END
 done
+crlf () {
+	get "$1" | tr -d '\r'
+}
+for path in /stream/crlf /stream-on/crlf
+do
+	expect "lines may end with CRLF ($path)" crlf "$path" <<END
+$events
+200
+0
+END
+done
 finish
