t0805: endpoints that say they leave, or ask for quiet

The soak had neither. Endpoints now say in answers that they are leaving until they are replaced, and refuse with a time of quiet, with random states of their own, so that the other faults of a seed stay where they were. Checked from the logs: no instance sends a request that came more than drain_ms after an endpoint had told it so.

--- a/t/t0805-front-soak.sh
+++ b/t/t0805-front-soak.sh
@@ -3,8 +3,8 @@
 #
 #	SEED=7 SOAK_SECONDS=60 sh t/t0805-front-soak.sh
 #
-# Instances are killed, frozen, stopped and started; endpoints fail, refuse, cut
-# their answers, restart and leave; the store is unreachable or silent, drops its
+# Instances are killed, frozen, stopped and started; endpoints fail, refuse, also with
+# a time of quiet, cut their answers, restart, leave and say so in answers; the store is unreachable or silent, drops its
 # history and loses answers; orders are late; the configuration changes.  Links of
 # an instance to the store, to each endpoint and from its peers are delayed, muted,
 # cut in one direction, reset and silenced for good, and answers on them break off or
@@ -16,6 +16,7 @@
 #  - no refused request has run;
 #  - no incomplete answer looked complete, and no answer had a byte of another;
 #  - no order broke a rule of the engines;
+#  - no instance sent a new request to an endpoint that had told it that it is leaving;
 #  - requests are served again within the bound after the last fault.
 #
 # t0806 replays the seeds that failed once.
@@ -66,6 +67,15 @@
 	random_state=$other_state
 }
 
+standing_state=$SEED
+standing_random () {
+	other_state=$random_state
+	random_state=$standing_state
+	random "$1"
+	standing_state=$random_state
+	random_state=$other_state
+}
+
 start_models --events 12 --event-ms 15
 start_links
 write_config 1
@@ -263,6 +273,26 @@
 	5) link "$peer" kill=all ;;
 	esac
 }
+leaving=
+standing_event () {
+	standing_random 4
+	set -- $endpoints
+	shift "$random_value"
+	standing_random 8
+	echo "$(date +%s) standing event $random_value $1" >>"$work/events"
+	case $random_value in
+	0) control "$1" leaving=1 && leaving="$leaving $1" ;;
+	1|2) control "$1" "mode=full&quiet=$random_value" ;;
+	esac
+}
+# An endpoint that leaves is replaced by another incarnation.
+mend_standing () {
+	for left in $leaving
+	do
+		control "$left" restart=1
+	done
+	leaving=
+}
 mend_peer () {
 	peer_random "$INSTANCES"
 	mend_link "peer$((random_value + 1))"
@@ -293,6 +323,7 @@
 	event
 	link_event
 	peer_event
+	standing_event
 	sleep 0.3
 	mend
 	pick_link
@@ -300,17 +331,20 @@
 	mend_peer
 	sleep 0.2
 	mend
+	standing_random 8
+	test "$random_value" != 0 || mend_standing
 done
 
 # End all faults; then all requests have to be served again.
 control store mode=up
+mend_standing
 for link in store1 store2 store3 peer1 peer2 peer3 $endpoints
 do
 	mend_link "$link"
 done
 for endpoint in $endpoints
 do
-	control "$endpoint" mode=ok
+	control "$endpoint" 'mode=ok&quiet=0'
 	control "$endpoint" state=ready
 done
 for name in $frozen front1 front2 front3
@@ -360,6 +394,24 @@
 }
 expect "seed $SEED: no refused request has run" refused_and_ran <<\END
 END
+# The setting drain_ms: an endpoint that leaves gets requests for so long.
+DRAIN_MS=2000
+sent_to_leaving () {
+	for n in $instances
+	do
+		sed -n 's/.*"ts":\([0-9]*\),.*"event":"started".*/\1 started/p
+			s/.*"ts":\([0-9]*\),.*"event":"endpoint says it is leaving","endpoint":"\([^"]*\)".*/\1 leaving \2/p
+			s/.*"ts":\([0-9]*\),.*"event":"request".*"outcome":"answered".*"ms":"\([0-9]*\)".*"endpoint":"\([^"]*\)".*/\1 request \3 \2/p' \
+			"$work/front$n.out" |
+		awk -v instance="$n" -v drain="$DRAIN_MS" '
+			$2 == "started" { split("", left) }
+			$2 == "leaving" && !($3 in left) { left[$3] = $1 }
+			$2 == "request" && $3 in left &&
+				$1 - $4 > left[$3] + drain { print instance, $0 }'
+	done
+}
+expect "seed $SEED: no new request went to an endpoint that leaves" sent_to_leaving <<\END
+END
 looked_whole () {
 	awk '$3 == 200 && $4 == 0 &&
 		$5 != ($1 == "stream" || $1 == "resume" ? 12 : 1)' "$work/requests"
