--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -5,9 +5,6 @@
 #include "base/log.h"
 #include "wire/codec.h"
 
-/* Longest name of an engine or adapter in a message. */
-#define NAME_MAX_BYTES 256
-
 /*
  * A silent connection is closed after twice this time, which is longer than a
  * busy instance takes to answer.
@@ -141,7 +138,7 @@
 	conn_send(requester, &writer);
 }
 
-static void log_malformed(const char *peer)
+void adapters_log_malformed(const char *peer)
 {
 	log_warn("peer message unreadable", "peer", peer, NULL);
 }
@@ -164,7 +161,7 @@
 	admission.load_max = codec_read_int(reader, 0, INT64_MAX);
 	admission.load_goal = codec_read_int(reader, 0, INT64_MAX);
 	if (!codec_read_end(reader) || !engine) {
-		log_malformed(conn_peer_instance(conn));
+		adapters_log_malformed(conn_peer_instance(conn));
 	} else {
 		held = g_hash_table_lookup(adapters->held, engine);
 		if (held)
@@ -187,7 +184,7 @@
 		engine ? g_hash_table_lookup(adapters->held, engine) : NULL;
 
 	if (!codec_read_end(reader))
-		log_malformed(conn_peer_instance(conn));
+		adapters_log_malformed(conn_peer_instance(conn));
 	else if (held)
 		held_engine_release(held, conn, id, has_run);
 	g_free(engine);
@@ -203,88 +200,13 @@
 		engine ? g_hash_table_lookup(adapters->held, engine) : NULL;
 
 	if (!codec_read_end(reader) || !adapter)
-		log_malformed(conn_peer_instance(conn));
+		adapters_log_malformed(conn_peer_instance(conn));
 	else if (held)
 		held_engine_prefetch(held, adapter, version);
 	g_free(engine);
 	g_free(adapter);
 }
 
-/*
- * Most items in one message, which carries what one poll read: above the number
- * of endpoints and instances together at the target size.
- */
-#define UPDATE_ITEMS_MAX 10000
-
-static void handle_updates(adapters_t *adapters, conn_t *conn,
-			   codec_reader_t *reader)
-{
-	GArray *items = kv_items_create();
-	store_updates_t updates = {0};
-	codec_reader_t rows;
-
-	updates.range.from = codec_read_int(reader, 0, INT64_MAX);
-	updates.range.to = codec_read_int(reader, 0, INT64_MAX);
-	codec_read_array(reader, &rows);
-	while (rows.left && !rows.is_failed && items->len < UPDATE_ITEMS_MAX) {
-		kv_item_t item = {0};
-		const char *value;
-
-		item.key = codec_read_text(&rows, NAME_MAX_BYTES);
-		item.revision = codec_read_int(&rows, 0, INT64_MAX);
-		item.lease = codec_read_int(&rows, 0, INT64_MAX);
-		if (codec_read_bool(&rows)) {
-			value = codec_read_bytes(&rows, &item.size);
-			item.value = value ? g_strndup(value, item.size) : NULL;
-		}
-		if (item.key)
-			g_array_append_val(items, item);
-	}
-	updates.items = (const kv_item_t *)(const void *)items->data;
-	updates.count = items->len;
-	updates.range.as_of = reader->left ? codec_read_int(reader, 0, MS_NEVER)
-					   : RELAY_AGE_UNKNOWN;
-	if (rows.is_failed || rows.left || !codec_read_end(reader))
-		log_malformed(conn_peer_instance(conn));
-	else
-		adapters->events.on_updates(adapters->ctx,
-					    conn_peer_instance(conn), &updates);
-	g_array_free(items, TRUE);
-}
-
-/* Most parts in one message: those of all requests at one engine. */
-#define PARTS_MAX 4096
-
-static void handle_parts(adapters_t *adapters, conn_t *conn,
-			 codec_reader_t *reader)
-{
-	GPtrArray *parts = g_ptr_array_new_with_free_func(g_free);
-	parts_message_t message = {0};
-	char *engine;
-	codec_reader_t rows;
-
-	message.news =
-		(parts_news_t)codec_read_int(reader, 0, PARTS_NEWS_COUNT - 1);
-	message.engine = engine = codec_read_text(reader, NAME_MAX_BYTES);
-	message.time_left = codec_read_int(reader, 0, INT64_MAX);
-	codec_read_array(reader, &rows);
-	while (rows.left && !rows.is_failed && parts->len < PARTS_MAX) {
-		char *part = codec_read_text(&rows, NAME_MAX_BYTES);
-
-		if (part)
-			g_ptr_array_add(parts, part);
-	}
-	g_ptr_array_add(parts, NULL);
-	message.parts = (const char *const *)parts->pdata;
-	if (rows.is_failed || rows.left || !codec_read_end(reader) ||
-	    (message.news == PARTS_CRASHED && !engine))
-		log_malformed(conn_peer_instance(conn));
-	else
-		adapters->events.on_parts(adapters->ctx, &message);
-	g_ptr_array_free(parts, TRUE);
-	g_free(engine);
-}
-
 /* Handles a message of an instance that connected to this one. */
 static void on_request(void *ctx, conn_t *conn, const msgpack_object *message)
 {
@@ -299,11 +221,11 @@
 	else if (type == MESSAGE_PREFETCH)
 		handle_prefetch(ctx, conn, &reader);
 	else if (type == MESSAGE_UPDATES)
-		handle_updates(ctx, conn, &reader);
+		adapters_receive_updates(ctx, conn, &reader);
 	else if (type == MESSAGE_PARTS)
-		handle_parts(ctx, conn, &reader);
+		adapters_receive_parts(ctx, conn, &reader);
 	else
-		log_malformed(conn_peer_instance(conn));
+		adapters_log_malformed(conn_peer_instance(conn));
 }
 
 static void drop_requester(adapters_t *adapters, conn_t *conn)
@@ -376,7 +298,7 @@
 	}
 	if (type < MESSAGE_ADMITTED || type > MESSAGE_UNLOADED ||
 	    !codec_read_end(&reader))
-		log_malformed(name);
+		adapters_log_malformed(name);
 	else
 		handle_reply(adapters, &reply);
 	g_free(engine);
@@ -606,89 +528,3 @@
 	codec_write_int(&writer, version);
 	peers_send(adapters->peers, holder, &writer);
 }
-
-/* Values per item in a message; the value of an item that exists adds one. */
-#define UPDATE_ITEM_FIELDS 4
-
-typedef struct {
-	adapters_t *adapters;
-	const store_updates_t *updates;
-} broadcast_t;
-
-static void send_updates(void *ctx, const char *name, gboolean is_up)
-{
-	const broadcast_t *broadcast = ctx;
-	const store_updates_t *updates = broadcast->updates;
-	codec_writer_t writer;
-	uint32_t members = 0;
-	size_t i;
-
-	if (!is_up)
-		return;
-	for (i = 0; i < updates->count; i++)
-		members +=
-			UPDATE_ITEM_FIELDS + (updates->items[i].value != NULL);
-	codec_write_init(&writer, MESSAGE_UPDATES, 4);
-	codec_write_int(&writer, updates->range.from);
-	codec_write_int(&writer, updates->range.to);
-	codec_write_array(&writer, members);
-	for (i = 0; i < updates->count; i++) {
-		const kv_item_t *item = &updates->items[i];
-
-		codec_write_text(&writer, item->key);
-		codec_write_int(&writer, item->revision);
-		codec_write_int(&writer, item->lease);
-		codec_write_bool(&writer, item->value != NULL);
-		if (item->value)
-			codec_write_bytes(&writer, item->value, item->size);
-	}
-	codec_write_int(&writer, updates->range.as_of);
-	peers_send(broadcast->adapters->peers, name, &writer);
-}
-
-void adapters_send_updates(adapters_t *adapters, const store_updates_t *updates)
-{
-	broadcast_t broadcast = {adapters, updates};
-
-	if (adapters->peers)
-		peers_foreach(adapters->peers, send_updates, &broadcast);
-}
-
-typedef struct {
-	adapters_t *adapters;
-	const parts_message_t *message;
-} parts_broadcast_t;
-
-static void send_parts(void *ctx, const char *name, gboolean is_up)
-{
-	const parts_broadcast_t *broadcast = ctx;
-	const parts_message_t *message = broadcast->message;
-	uint32_t count = g_strv_length((char **)message->parts);
-	codec_writer_t writer;
-	uint32_t i;
-
-	if (!is_up)
-		return;
-	codec_write_init(&writer, MESSAGE_PARTS, 4);
-	codec_write_int(&writer, message->news);
-	codec_write_text(&writer, message->engine);
-	codec_write_int(&writer, message->time_left);
-	codec_write_array(&writer, count);
-	for (i = 0; i < count; i++)
-		codec_write_text(&writer, message->parts[i]);
-	peers_send(broadcast->adapters->peers, name, &writer);
-}
-
-void adapters_send_parts(adapters_t *adapters, const char *instance,
-			 const parts_message_t *message)
-{
-	parts_broadcast_t broadcast = {adapters, message};
-
-	if (!adapters->peers)
-		return;
-	if (instance)
-		send_parts(&broadcast, instance,
-			   peers_is_connected(adapters->peers, instance));
-	else
-		peers_foreach(adapters->peers, send_parts, &broadcast);
-}
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -13,6 +13,10 @@
 #include "own/lease.h"
 #include "serve/peers.h"
 #include "serve/ticker.h"
+#include "wire/codec.h"
+
+/* Longest name of an engine, adapter or part in a message. */
+#define NAME_MAX_BYTES 256
 
 /* Messages of the requesting instance, then those of the holder. */
 typedef enum {
@@ -141,5 +145,15 @@
 /* requester: a connection, or NULL for this instance. */
 void adapters_reply(adapters_t *adapters, conn_t *requester,
 		    const holder_reply_t *reply);
+void adapters_log_malformed(const char *peer);
+
+/*
+ * adapters_broadcast.c: messages that say the same to all other instances;
+ * these functions handle one that has arrived.
+ */
+void adapters_receive_updates(adapters_t *adapters, conn_t *conn,
+			      codec_reader_t *reader);
+void adapters_receive_parts(adapters_t *adapters, conn_t *conn,
+			    codec_reader_t *reader);
 
 #endif
