base/log: begin a line on a new line after one that was cut

On-call engineers could read neither a log line that was cut, because standard output took a part of it, nor the one after it, which followed on the same line.

Cause: the newline of a line that was written in part is not written. The next line now begins with it; line and newline are one write.

--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -24,6 +24,8 @@
 static log_level_t log_threshold = LOG_INFO;
 static int log_lines_max;      /* per event and second; 0: unlimited */
 static GHashTable *log_quotas; /* event to quota_t */
+/* A part of a line was written last; the next one begins on a new line. */
+static gboolean is_line_cut;
 
 void log_init(const char *program, const char *instance, log_level_t level)
 {
@@ -70,7 +72,8 @@
 /* With a limit set, drops a line that can't be written without blocking. */
 static void output_line(const char *text)
 {
-	size_t size = strlen(text);
+	char *line;
+	size_t size;
 	ssize_t done;
 
 	if (!log_lines_max) {
@@ -78,13 +81,14 @@
 		fflush(stdout);
 		return;
 	}
-	done = write(STDOUT_FILENO, text, size);
-	if (done == (ssize_t)size)
-		done = write(STDOUT_FILENO, "\n", 1);
-	else
-		done = -1;
-	if (done != 1)
+	line = g_strconcat(is_line_cut ? "\n" : "", text, "\n", NULL);
+	size = strlen(line);
+	done = write(STDOUT_FILENO, line, size);
+	if (done != (ssize_t)size)
 		count_dropped();
+	if (done > 0)
+		is_line_cut = line[done - 1] != '\n';
+	g_free(line);
 }
 
 static JsonObject *line_create(log_level_t level, const char *event)
--- a/lib/base/log.h
+++ b/lib/base/log.h
@@ -15,8 +15,8 @@
  *
  * log_set_rate_limit() limits the number of lines per event and second, and
  * makes standard output non-blocking: a line that can't be written at once,
- * such as to a full pipe, is dropped.  hc_log_dropped_total counts all dropped
- * lines.
+ * such as to a full pipe, is dropped or cut.  hc_log_dropped_total counts all
+ * dropped and cut lines.
  * Lines above the limit are also reported by a line "log lines dropped" before
  * the first line of the same event in a later second.
  */
