Remove members that nothing uses, and name the sizes of an update

engine_locks, kv_etcd and standin-engine had a member each that was never read or written; an update of membership was written with one less than the constant for its size; and a message type that nobody sends has to stay for the numbers after it.

--- a/lib/hold/engine_locks.c
+++ b/lib/hold/engine_locks.c
@@ -15,8 +15,7 @@
 	gboolean is_listed;
 	char *holder; /* empty if none */
 	int64_t incarnation;
-	int64_t revision;     /* of the record; 0 if there is none */
-	int64_t last_written; /* revision that this process wrote */
+	int64_t revision; /* of the record; 0 if there is none */
 	ms_t unheld_since;
 	ms_t order_not_before; /* while the lock is held */
 	ms_t retry_at;
--- a/lib/kv/kv_etcd.c
+++ b/lib/kv/kv_etcd.c
@@ -24,7 +24,6 @@
 	size_t attempts; /* number of addresses tried so far */
 	guint address;	 /* index of the address in use */
 	http_call_t *http;
-	gboolean is_refused; /* because the queue was full */
 	union {
 		kv_read_done_t read;
 		kv_write_done_t write;
--- a/lib/member/member_message.c
+++ b/lib/member/member_message.c
@@ -4,13 +4,11 @@
 
 #include "base/error.h"
 
-/*
- * Numbers of array elements in a message and a place.  An update has
- * UPDATE_FIELDS - 1 elements with a place, and 3 without.
- */
-#define MESSAGE_FIELDS 8
-#define UPDATE_FIELDS  5
-#define PLACE_FIELDS   6
+/* Numbers of array elements in a message, an update, and a place. */
+#define MESSAGE_FIELDS		 8
+#define UPDATE_FIELDS		 3
+#define UPDATE_FIELDS_WITH_PLACE 4
+#define PLACE_FIELDS		 6
 
 #define PORT_MAX 65535
 
@@ -114,7 +112,8 @@
 	/* Bit 0: kind; bits 1 to 3: state; bit 4: is_leaving. */
 	int flags = update->kind | update->state << 1 | update->is_leaving << 4;
 
-	codec_write_array(writer, update->place ? UPDATE_FIELDS - 1 : 3);
+	codec_write_array(writer, update->place ? UPDATE_FIELDS_WITH_PLACE
+						: UPDATE_FIELDS);
 	codec_write_int(writer, flags);
 	codec_write_text(writer, update->name);
 	codec_write_int(writer, update->incarnation);
--- a/lib/serve/message.h
+++ b/lib/serve/message.h
@@ -37,7 +37,7 @@
 	/* Entry to the home of an adapter, and the answer. */
 	MESSAGE_PLACE,
 	MESSAGE_PLACED,
-	MESSAGE_PLACE_FAILED,
+	MESSAGE_PLACE_FAILED, /* not sent; keeps the numbers of the next */
 	/* Owner to owner: from a home, and between an owner and a broker. */
 	MESSAGE_DEMOTE,
 	MESSAGE_LOAD_REQUEST,
--- a/standin/standin-engine.c
+++ b/standin/standin-engine.c
@@ -27,7 +27,6 @@
 	http_server_t *server;
 	ms_clock_t *clock;
 	uv_timer_t timer;
-	ms_t answer_delay_ms;
 	int64_t garbled_tokens;	 /* left to send as invalid JSON */
 	int64_t large_tokens;	 /* left to send with LARGE_TOKEN_BYTES */
 	int64_t garbled_reports; /* left to send as invalid JSON */
