--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -77,6 +77,7 @@
 		{"\"service\":\"llm\"", "\"service\":1", "service"},
 		{"\"weight\":3", "\"weight\":-3", "backends"},
 		{"\"host\":\"A.example\"", "\"host\":null", "host"},
+		{"\"prefix\":\"/s/\"", "\"prefix\":null", "prefix"},
 	};
 	guint i;
 
@@ -183,6 +184,18 @@
 	}
 }
 
+static void assert_version_error(const char *text, const char *field)
+{
+	GError *error = NULL;
+	char *adapter;
+	int64_t version;
+
+	assert_false(
+		decode_version(text, strlen(text), &adapter, &version, &error));
+	assert_non_null(strstr(error->message, field));
+	g_error_free(error);
+}
+
 static void test_keys_and_versions(void **state)
 {
 	static const char text[] =
@@ -201,7 +214,10 @@
 	assert_string_equal(adapter, "m/a3");
 	assert_int_equal(version, 2);
 	g_free(adapter);
-	assert_false(decode_version("{}", 2, &adapter, &version, NULL));
+	assert_version_error("{\"adapter\":\"a3\",\"version\":2}", "'model'");
+	assert_version_error("{\"model\":\"m\",\"version\":2}", "'adapter'");
+	assert_version_error("{\"model\":\"m\",\"adapter\":\"a3\"}",
+			     "'version'");
 }
 
 static void test_order(void **state)
@@ -259,10 +275,13 @@
 	static const char deletion[] =
 		"{\"events\":[{\"key\":\"a\",\"rev\":4,\"deleted\":true}],"
 		"\"asOf\":10}";
+	static const char no_revision[] =
+		"{\"items\":[{\"key\":\"a\",\"value\":\"eA==\"}],\"asOf\":9}";
 	GArray *items = kv_items_create();
 	gboolean has_more;
 	int64_t revision;
 	const kv_item_t *item;
+	GError *error = NULL;
 
 	assert_true(store_parse_items(page, strlen(page), items, &revision,
 				      &has_more, NULL));
@@ -274,6 +293,10 @@
 	assert_true(store_parse_items(deletion, strlen(deletion), items,
 				      &revision, &has_more, NULL));
 	assert_null(g_array_index(items, kv_item_t, 1).value);
+	assert_false(store_parse_items(no_revision, strlen(no_revision), items,
+				       &revision, &has_more, &error));
+	assert_non_null(strstr(error->message, "'rev'"));
+	g_clear_error(&error);
 	assert_false(store_parse_items("{\"items\":[]}", 12, items, &revision,
 				       &has_more, NULL));
 	assert_false(store_parse_items("{\"asOf\":1,\"items\":[7]}", 22, items,
