hold/relay: poll within the history that the store says it keeps

Where configurations have more time to be in force, polls are further apart, and an instance that others poll for could go without a poll of its own for longer than the store keeps its history: 24 s at 1.5 s between polls, of 20 s. It would then read all items anew, with all other instances, each time.

Cause: the longest time without a poll was counted in polls, a figure that fitted polls 600 ms apart. It is three quarters of the store's history now, which the platform states (store_history_s).

--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -27,6 +27,12 @@
  */
 #define POLL_INTERVAL_PERCENT 30
 
+/*
+ * Longest time between two polls of an instance that receives broadcasts, as a
+ * share of the history that the store keeps.
+ */
+#define SKIP_HISTORY_SHARE 0.75
+
 /*
  * Even if all instances that poll for the others fail at once, a fifth of that
  * time is left for a poll.
@@ -77,6 +83,8 @@
 		 600000},
 		{"drain_ms", SETTING_NUMBER, &settings->drain_ms, "2000", 100,
 		 600000},
+		{"store_history_s", SETTING_NUMBER, &settings->store_history_s,
+		 "20", 1, 1000000},
 		{"repeat_share", SETTING_TEXT, &settings->repeat_share, "0.1",
 		 0, 0},
 		{"repeat_window_s", SETTING_NUMBER, &settings->repeat_window_s,
@@ -307,6 +315,8 @@
 	relay_options_t options = {
 		.instance = process_settings(front->process)->instance,
 		.poll_time = gather_time(front),
+		.skip_max = (ms_t)(front->settings.store_history_s * MS_PER_S *
+				   SKIP_HISTORY_SHARE),
 		.link_bytes_per_s =
 			front->settings.link_mbps * BYTES_PER_S_OF_MBPS,
 	};
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -43,6 +43,8 @@
 	double config_ms;
 	/* Time after which a leaving endpoint must not get new requests. */
 	double drain_ms;
+	/* How long the store keeps the history of changes. */
+	double store_history_s;
 	/* Repeats as a share of the requests for a service. */
 	char *repeat_share;
 	double repeat_window_s;
--- a/lib/hold/relay.c
+++ b/lib/hold/relay.c
@@ -21,6 +21,7 @@
 struct relay {
 	char *instance;
 	ms_t poll_time;
+	ms_t skip_max;
 	ms_t next_interval;	/* up to poll_time */
 	double broadcast_max;	/* bytes to all instances together */
 	GHashTable *alive;	/* names of live instances */
@@ -40,6 +41,7 @@
 
 	relay->instance = g_strdup(options->instance);
 	relay->poll_time = options->poll_time;
+	relay->skip_max = options->skip_max;
 	relay->next_interval = MIN(RELAY_FIRST_POLL_MS, options->poll_time);
 	relay->broadcast_max =
 		options->link_bytes_per_s * RELAY_BROADCAST_MAX_MS / MS_PER_S;
@@ -166,7 +168,7 @@
 ms_t relay_skip_time(const relay_t *relay, ms_t now, ms_t last)
 {
 	ms_t age_max = relay->poll_time * RELAY_AGE_MAX_PERCENT / 100;
-	ms_t due = last + RELAY_SKIPPED_POLLS_MAX * relay->poll_time;
+	ms_t due = last + relay->skip_max;
 
 	/* An instance that the others do not know receives no broadcasts. */
 	if (!relay->is_in_sync || !is_listed(relay) || relay_is_poller(relay))
--- a/lib/hold/relay.h
+++ b/lib/hold/relay.h
@@ -58,13 +58,6 @@
  */
 #define RELAY_DRIFT_MAX 0.0005
 
-/*
- * An instance that receives broadcasts still polls once in this many poll
- * intervals, so that its revision stays within the history that the service
- * keeps: 10 s of 20 s.
- */
-#define RELAY_SKIPPED_POLLS_MAX 16
-
 /* The interval of the first polls after a start. */
 #define RELAY_FIRST_POLL_MS 150
 
@@ -77,8 +70,14 @@
 typedef struct relay relay_t;
 
 typedef struct {
-	const char *instance;	 /* copied */
-	ms_t poll_time;		 /* usual poll interval of a poller */
+	const char *instance; /* copied */
+	ms_t poll_time;	      /* usual poll interval of a poller */
+	/*
+	 * An instance that receives broadcasts still polls this long after its
+	 * last poll, so that its revision stays within the history that the
+	 * service keeps.
+	 */
+	ms_t skip_max;
 	double link_bytes_per_s; /* bandwidth of the instance's own link */
 } relay_options_t;
 
--- a/t/unit/test-relay.c
+++ b/t/unit/test-relay.c
@@ -15,6 +15,9 @@
 /* The slowest link of any site: 10 Mbit/s. */
 #define LINK_BYTES_PER_S 1.25e6
 
+/* Three quarters of a history of 20 s. */
+#define SKIP_MAX_MS 15000
+
 #define AGE_MAX_MS (POLL_MS * RELAY_AGE_MAX_PERCENT / 100)
 
 /* The clock of the poller ahead of the one here. */
@@ -28,10 +31,11 @@
 	return name;
 }
 
-static relay_t *create_relay(int n)
+static relay_t *create_polling_relay(int n, ms_t poll_time)
 {
 	relay_options_t options = {.instance = name_of(n),
-				   .poll_time = POLL_MS,
+				   .poll_time = poll_time,
+				   .skip_max = SKIP_MAX_MS,
 				   .link_bytes_per_s = LINK_BYTES_PER_S};
 	relay_t *relay = relay_create(&options);
 	int i;
@@ -41,6 +45,11 @@
 	return relay;
 }
 
+static relay_t *create_relay(int n)
+{
+	return create_polling_relay(n, POLL_MS);
+}
+
 /*
  * A broadcast of the updates after from up to to arrives; the poll behind it
  * was made at the time polled_at.
@@ -122,11 +131,9 @@
 	assert_int_equal(relay_skip_time(relay, now + POLL_MS, now),
 			 AGE_MAX_MS - POLL_MS);
 	/* It still polls now and then. */
-	assert_int_equal(
-		relay_skip_time(relay, now + POLL_MS,
-				now + POLL_MS -
-					RELAY_SKIPPED_POLLS_MAX * POLL_MS),
-		0);
+	assert_int_equal(relay_skip_time(relay, now + POLL_MS,
+					 now + POLL_MS - SKIP_MAX_MS),
+			 0);
 	/* All pollers died. */
 	assert_int_equal(
 		relay_skip_time(relay, now + AGE_MAX_MS, now + AGE_MAX_MS), 0);
@@ -207,6 +214,26 @@
 	relay_destroy(relay);
 }
 
+/*
+ * Guards against a revision that the store's history no longer reaches, so that
+ * all items have to be read anew, where polls are far apart.
+ */
+static void test_rare_polls_within_history(void **state)
+{
+	ms_t poll_time = 2 * POLL_MS;
+	relay_t *relay = create_polling_relay(find_instance(FALSE), poll_time);
+	ms_t last = 100000;
+	ms_t now = last;
+
+	for (; now < last + SKIP_MAX_MS; now += poll_time) {
+		receive(relay, now, now, 0, 0);
+		assert_true(now == last || relay_skip_time(relay, now, last));
+	}
+	receive(relay, now, now, 0, 0);
+	assert_int_equal(relay_skip_time(relay, now, last), 0);
+	relay_destroy(relay);
+}
+
 /* A day of broadcasts of a poller whose clock is slower than the one here. */
 static void test_slow_clock(void **state)
 {
@@ -337,6 +364,7 @@
 		cmocka_unit_test(test_lost_broadcast),
 		cmocka_unit_test(test_late_broadcast),
 		cmocka_unit_test(test_broadcast_of_unknown_age),
+		cmocka_unit_test(test_rare_polls_within_history),
 		cmocka_unit_test(test_slow_clock),
 		cmocka_unit_test(test_large_update),
 		cmocka_unit_test(test_successor),
