front/adapters: read a broadcast whose age is not known

An instance that had read all items anew, since the store had dropped its history, told the others; they logged "peer message unreadable", dropped the broadcast and learned of the changes up to a poll later.

--- a/lib/front/adapters_broadcast.c
+++ b/lib/front/adapters_broadcast.c
@@ -32,8 +32,10 @@
 	}
 	updates.items = (const kv_item_t *)(const void *)items->data;
 	updates.count = items->len;
-	updates.range.as_of = reader->left ? codec_read_int(reader, 0, MS_NEVER)
-					   : RELAY_AGE_UNKNOWN;
+	updates.range.as_of =
+		reader->left
+			? codec_read_int(reader, RELAY_AGE_UNKNOWN, MS_NEVER)
+			: RELAY_AGE_UNKNOWN;
 	if (rows.is_failed || rows.left || !codec_read_end(reader))
 		adapters_log_malformed(conn_peer_instance(conn));
 	else
--- a/t/t0803-front-fleet.sh
+++ b/t/t0803-front-fleet.sh
@@ -127,6 +127,12 @@
 expect 'no order broke a rule' total broken engine-1 engine-2 <<\END
 0
 END
+unreadable () {
+	cat "$work"/front?.out | grep -c 'peer message unreadable'
+}
+expect 'the instances could read all messages' unreadable <<\END
+0
+END
 expect 'nothing ran twice' total twice engine-1 engine-2 desk-1 desk-2 <<\END
 0
 END
--- a/t/t0807-front-told-of-gap.sh
+++ b/t/t0807-front-told-of-gap.sh
@@ -33,4 +33,10 @@
 within_seconds 1 new_route 2
 # Its own poll gets no answer.
 within_seconds 1 new_route 3
+unreadable () {
+	cat "$work"/front?.out | grep -c 'peer message unreadable'
+}
+expect 'the instances could read what they were told' unreadable <<\END
+0
+END
 finish
