t0803: freeze a holder once both instances hold an engine again

Its logs: the store was unreachable for 3.4 s, longer than a lease of 1 s; at its return instance 2 logs "engine no longer held", and "engine held" not yet when the script asks which engine it holds, so that no request could meet it. That is allowed: engines are shared again within some seconds.

--- a/t/t0803-front-fleet.sh
+++ b/t/t0803-front-fleet.sh
@@ -87,6 +87,8 @@
 
 # A frozen holder delays one request, not each of them.  The requests use an
 # adapter that is resident at its engine, so that they wait for nothing else.
+# The leases ended while the store was unreachable.
+wait_for engines_shared
 engine_of_2=$(curl -s "http://$(ip 2):8001/status" | grep -o 'engine-[12]-1')
 for name in g1 g2 g3 g4 g5 g6 g7 g8 g9
 do
