--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -403,6 +403,7 @@
 	front->repeats = counter_get("hc_repeats_total");
 	front->leaving = counter_get("hc_endpoints_said_leaving_total");
 	front->quiet = counter_get("hc_endpoints_asked_quiet_total");
+	front->limited = counter_get("hc_endpoints_named_limit_total");
 	front->parts_held = counter_get("hc_prompt_parts_held_total");
 	front->first_byte_time = histogram_get("hc_first_byte_ms");
 	front->load_wait_time = histogram_get("hc_adapter_wait_ms");
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -108,6 +108,7 @@
 	counter_t *parts_held;
 	counter_t *leaving; /* endpoints that said so */
 	counter_t *quiet;   /* times that endpoints asked for it */
+	counter_t *limited; /* times that an endpoint began to name a limit */
 	histogram_t *first_byte_time;
 	histogram_t *load_wait_time;
 };
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -83,6 +83,7 @@
 	endpoint->failure_domain = g_strdup(info->failure_domain);
 	endpoint->started_at = info->started_at;
 	endpoint->reported_at = -LOAD_STALE_MS;
+	endpoint->limit = FLEET_NO_LIMIT;
 	endpoint->adapters =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return endpoint;
@@ -249,6 +250,16 @@
 	return endpoint->quiet_until;
 }
 
+void fleet_endpoint_note_limit(fleet_endpoint_t *endpoint, double limit)
+{
+	endpoint->limit = limit;
+}
+
+double fleet_endpoint_limit(const fleet_endpoint_t *endpoint)
+{
+	return endpoint->limit;
+}
+
 ms_t fleet_quiet_time(const fleet_t *fleet, ms_t now, const char *service)
 {
 	GHashTableIter iter;
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -109,6 +109,13 @@
 /* Returns the end of that time; in the past if there is none. */
 ms_t fleet_endpoint_quiet_until(const fleet_endpoint_t *endpoint);
 
+/* The requests a second that the endpoint takes from all instances together. */
+#define FLEET_NO_LIMIT (-1.0)
+
+/* The endpoint named this limit in an answer; FLEET_NO_LIMIT: it named none. */
+void fleet_endpoint_note_limit(fleet_endpoint_t *endpoint, double limit);
+double fleet_endpoint_limit(const fleet_endpoint_t *endpoint);
+
 /*
  * Returns the shortest time that an endpoint of the service still wants no
  * request; 0 if one may be sent a request or none is known.
--- a/lib/route/fleet_private.h
+++ b/lib/route/fleet_private.h
@@ -22,6 +22,7 @@
 	gboolean is_usable;
 	gboolean has_said_leaving;
 	ms_t quiet_until;
+	double limit;  /* requests a second, or FLEET_NO_LIMIT */
 	char **models; /* NULL-terminated */
 	int places;
 	gboolean is_long_engine; /* reserved for long prompts */
--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -467,6 +467,43 @@
 	http1_reader_destroy(message.reader);
 }
 
+static void test_request_limit(void **state)
+{
+	static const struct {
+		const char *line;
+		gboolean names_limit;
+		double limit;
+	} cases[] = {
+		{"", FALSE, 0},
+		{"Server-Limit: 2.7\r\n", TRUE, 2.7},
+		{"server-limit: 40\r\n", TRUE, 40},
+		{"Server-Limit: 0\r\n", TRUE, 0},
+		{"Server-Limit: -2\r\n", TRUE, LIMIT_UNREADABLE},
+		{"Server-Limit: \r\n", TRUE, LIMIT_UNREADABLE},
+		{"Server-Limit: few\r\n", TRUE, LIMIT_UNREADABLE},
+		{"Server-Limit: inf\r\n", TRUE, LIMIT_UNREADABLE},
+		{"Server-Limit: 1e999\r\n", TRUE, LIMIT_UNREADABLE},
+		{"Server-Limit: 2,3\r\n", TRUE, LIMIT_UNREADABLE},
+		{"Server-Limit: 2/s\r\n", TRUE, LIMIT_UNREADABLE},
+	};
+	response_fields_t fields;
+	message_t message;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf("HTTP/1.1 200 X\r\n%s"
+					     "Content-Length: 0\r\n\r\n",
+					     cases[i].line);
+
+		read_message(&message, HTTP1_RESPONSES, text);
+		headers_read_response(message.head, &fields);
+		assert_int_equal(fields.names_limit, cases[i].names_limit);
+		assert_float_equal(fields.limit, cases[i].limit, 0);
+		http1_reader_destroy(message.reader);
+		g_free(text);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -474,6 +511,7 @@
 		cmocka_unit_test(test_bad_configuration),
 		cmocka_unit_test(test_shared_parts),
 		cmocka_unit_test(test_retry_after),
+		cmocka_unit_test(test_request_limit),
 		cmocka_unit_test(test_endpoint),
 		cmocka_unit_test(test_bad_endpoint),
 		cmocka_unit_test(test_keys_and_versions),
