front: keep the request limit that an endpoint names

Its class: a bound on a sum over all instances that no instance sees.

route/request_limit holds this instance's share: a few senders, the first in a rendezvous order of the live instances, divide the limit among token buckets that start empty; the holder of an engine is always one of them, and its orders and reports are taken from its share. So no message is needed to send, and a limit of N a second is kept to 4 N + K calls in 4 s with K senders. Instances tell each other of a limit, at once and then every second while answers name it, and of its end. Others than the senders send nothing; without news for 3.5 s they take turns, each for one call, to learn whether it still holds. An answer without a limit ends it only if its request was sent after the limit was last confirmed. Another incarnation has none.

A limited endpoint without room is passed over, as one that asked for quiet; a request that waits for admission keeps its room. Where no endpoint of the service has room the caller is refused at once, with the time after which this instance's part of the limit has room for one more, behind those that were told so before.

--- a/lib/bench/cluster_fleet.c
+++ b/lib/bench/cluster_fleet.c
@@ -19,7 +19,7 @@
 fleet_t *cluster_fleet_create(const cluster_t *cluster)
 {
 	char *models[] = {(char *)SERVICE, NULL};
-	fleet_t *fleet = fleet_create("");
+	fleet_t *fleet = fleet_create("", "");
 	int i;
 
 	for (i = 0; i < cluster->profile->endpoints; i++) {
@@ -74,7 +74,7 @@
 		request_replica(cluster, &cluster->instances[request->entry],
 				choice.replica, adapter);
 	request->counted_endpoint = fleet_endpoint_ref(choice.endpoint);
-	fleet_endpoint_begin(choice.endpoint);
+	fleet_endpoint_begin(choice.endpoint, sim_now(cluster->sim));
 	return atoi(fleet_endpoint_id(choice.endpoint) + 1);
 }
 
--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -72,6 +72,20 @@
 	const char *const *parts; /* NULL-terminated */
 } parts_message_t;
 
+/* What an endpoint has said about itself in an answer. */
+typedef enum {
+	ENDPOINT_LIMITED,   /* value: its request limit, in 1/1000 per second */
+	ENDPOINT_UNLIMITED, /* it names no limit any more; value: 0 */
+	ENDPOINT_NEWS_COUNT
+} endpoint_news_t;
+
+typedef struct {
+	endpoint_news_t news;
+	const char *endpoint;
+	int64_t started_at; /* of the incarnation that said so */
+	int64_t value;
+} endpoint_message_t;
+
 typedef struct {
 	/*
 	 * The request may be sent; the engine has this version of the adapter.
@@ -100,6 +114,8 @@
 			   const store_updates_t *updates);
 	/* Another instance has learned something about parts of prompts. */
 	void (*on_parts)(void *ctx, const parts_message_t *message);
+	/* Another instance has heard something from an endpoint. */
+	void (*on_endpoint_news)(void *ctx, const endpoint_message_t *message);
 	/* This instance has connected to another. */
 	void (*on_peer)(void *ctx, const char *instance);
 	/* An instance was registered, or its record is gone. */
@@ -215,4 +231,8 @@
 void adapters_send_parts(adapters_t *adapters, const char *instance,
 			 const parts_message_t *message);
 
+/* Sends what an endpoint said to an instance; NULL for all. */
+void adapters_send_endpoint(adapters_t *adapters, const char *instance,
+			    const endpoint_message_t *message);
+
 #endif
--- a/lib/front/adapters_broadcast.c
+++ b/lib/front/adapters_broadcast.c
@@ -162,3 +162,56 @@
 	else
 		peers_foreach(adapters->peers, send_parts, &broadcast);
 }
+
+void adapters_receive_endpoint(adapters_t *adapters, conn_t *conn,
+			       codec_reader_t *reader)
+{
+	endpoint_message_t message = {0};
+	char *endpoint;
+
+	message.news = (endpoint_news_t)codec_read_int(reader, 0,
+						       ENDPOINT_NEWS_COUNT - 1);
+	message.endpoint = endpoint = codec_read_text(reader, NAME_MAX_BYTES);
+	message.started_at = codec_read_int(reader, INT64_MIN, INT64_MAX);
+	message.value = codec_read_int(reader, 0, INT64_MAX);
+	if (!codec_read_end(reader) || !endpoint)
+		adapters_log_malformed(conn_peer_instance(conn));
+	else
+		adapters->events.on_endpoint_news(adapters->ctx, &message);
+	g_free(endpoint);
+}
+
+typedef struct {
+	adapters_t *adapters;
+	const endpoint_message_t *message;
+} endpoint_broadcast_t;
+
+static void send_endpoint(void *ctx, const char *name, gboolean is_up)
+{
+	const endpoint_broadcast_t *broadcast = ctx;
+	const endpoint_message_t *message = broadcast->message;
+	codec_writer_t writer;
+
+	if (!is_up)
+		return;
+	codec_write_init(&writer, MESSAGE_ENDPOINT, 4);
+	codec_write_int(&writer, message->news);
+	codec_write_text(&writer, message->endpoint);
+	codec_write_int(&writer, message->started_at);
+	codec_write_int(&writer, message->value);
+	peers_send(broadcast->adapters->peers, name, &writer);
+}
+
+void adapters_send_endpoint(adapters_t *adapters, const char *instance,
+			    const endpoint_message_t *message)
+{
+	endpoint_broadcast_t broadcast = {adapters, message};
+
+	if (!adapters->peers)
+		return;
+	if (instance)
+		send_endpoint(&broadcast, instance,
+			      peers_is_connected(adapters->peers, instance));
+	else
+		peers_foreach(adapters->peers, send_endpoint, &broadcast);
+}
--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -14,6 +14,12 @@
  */
 #define DOWN_RETRY_MS 200
 
+/*
+ * Least time between reports of an engine that named a request limit, so that
+ * they do not use up the share of this instance.
+ */
+#define LIMITED_REPORT_MS 2000
+
 /* Largest report of an engine; far above the size with 150 adapters. */
 #define REPORT_MAX_BYTES (256 * 1024)
 
@@ -106,6 +112,7 @@
 	};
 
 	g_assert(!held->order);
+	fleet_endpoint_count_call(held->endpoint, adapters->now);
 	body = engine_render_order(order, model_of(held), instance, fence);
 	request.body = body;
 	request.body_size = strlen(body);
@@ -165,6 +172,8 @@
 	};
 
 	counter_add(adapters->reports, 1);
+	fleet_endpoint_count_call(held->endpoint, adapters->now);
+	held->reported_at = adapters->now;
 	held->report =
 		http_call_buffered(adapters->client, &request, REPORT_MAX_BYTES,
 				   on_report_answer, held);
@@ -386,6 +395,9 @@
 		else
 			admission_free(held, admission, now, MAY_HAVE_RUN);
 	}
+	if (held->endpoint)
+		fleet_endpoint_set_holder(held->adapters->fleet, held->endpoint,
+					  now, FALSE);
 	g_clear_pointer(&held->cache, adapter_cache_destroy);
 	g_clear_pointer(&held->admission_queue, admission_queue_destroy);
 	g_clear_pointer(&held->endpoint, fleet_endpoint_unref);
@@ -428,21 +440,33 @@
 		return;
 	}
 	held->endpoint = fleet_endpoint_ref(listed);
+	fleet_endpoint_set_holder(held->adapters->fleet, listed,
+				  now_of(held->adapters), TRUE);
 	patience_init(&held->patience, now_of(held->adapters));
 	held->cache = adapter_cache_create(&cache, &cache_actions, held);
 	held->admission_queue = admission_queue_create(
 		&admission_queue, &admission_queue_actions, held);
 }
 
+/* When the engine takes the next report. */
+static ms_t next_report_time(const held_engine_t *held, ms_t now)
+{
+	const fleet_endpoint_t *engine = held->endpoint;
+
+	if (fleet_endpoint_standing(engine, now) == STANDING_QUIET)
+		return fleet_endpoint_quiet_until(engine);
+	if (!fleet_endpoint_limit(engine))
+		return now;
+	return MAX(now + fleet_endpoint_limit_wait(engine, now),
+		   held->reported_at + LIMITED_REPORT_MS);
+}
+
 void held_engine_tick(held_engine_t *held, ms_t now)
 {
 	sync_incarnation(held);
 	if (!held->cache)
 		return;
-	if (fleet_endpoint_standing(held->endpoint, now) == STANDING_QUIET)
-		adapter_cache_delay_report(
-			held->cache,
-			fleet_endpoint_quiet_until(held->endpoint));
+	adapter_cache_delay_report(held->cache, next_report_time(held, now));
 	if (now >= held->next_call_at)
 		adapter_cache_tick(held->cache, now, may_order(held, now));
 	advance_admissions(held, now);
--- a/lib/front/adapters_peers.c
+++ b/lib/front/adapters_peers.c
@@ -224,6 +224,8 @@
 		adapters_receive_updates(ctx, conn, &reader);
 	else if (type == MESSAGE_PARTS)
 		adapters_receive_parts(ctx, conn, &reader);
+	else if (type == MESSAGE_ENDPOINT)
+		adapters_receive_endpoint(ctx, conn, &reader);
 	else
 		adapters_log_malformed(conn_peer_instance(conn));
 }
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -29,7 +29,8 @@
 	MESSAGE_REFUSED,
 	MESSAGE_UNLOADED,
 	/* Of any instance to all others, or to one that has just started. */
-	MESSAGE_PARTS
+	MESSAGE_PARTS,
+	MESSAGE_ENDPOINT
 } message_type_t;
 
 /* A message of a holder. */
@@ -72,6 +73,7 @@
 	http_call_t *order;  /* call in progress, or NULL */
 	http_call_t *report;
 	ms_t ordered_at;
+	ms_t reported_at;
 	gboolean is_down; /* this instance can't connect to it */
 	/* Earliest time of the next call, after a failed connection. */
 	ms_t next_call_at;
@@ -155,5 +157,7 @@
 			      codec_reader_t *reader);
 void adapters_receive_parts(adapters_t *adapters, conn_t *conn,
 			    codec_reader_t *reader);
+void adapters_receive_endpoint(adapters_t *adapters, conn_t *conn,
+			       codec_reader_t *reader);
 
 #endif
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -233,6 +233,13 @@
 	size_t size;
 	const char *body;
 
+	if (!fleet_endpoint_takes_reserved(endpoint, now)) {
+		forward->failure_reason = "endpoint takes no request any more";
+		g_string_free(text, TRUE);
+		g_free(address);
+		forward_try_other_endpoint(forward);
+		return;
+	}
 	if (end_if_held(forward) || !count_transmission(forward, now)) {
 		g_string_free(text, TRUE);
 		g_free(address);
@@ -240,7 +247,6 @@
 	}
 	body = call_body(forward->call, &size);
 	g_assert(!forward->may_have_run || forward->is_idempotent);
-	g_assert(fleet_endpoint_standing(endpoint, now) == STANDING_OPEN);
 	headers_render_request(text, head, &fields, size);
 	g_string_append_len(text, body, (gssize)size);
 	g_free(address);
@@ -248,7 +254,8 @@
 	forward->is_known_not_run = FALSE;
 	forward->state = FORWARD_SENT;
 	forward->sent_at = now;
-	fleet_endpoint_begin(endpoint);
+	fleet_endpoint_unreserve(endpoint);
+	fleet_endpoint_begin(endpoint, now);
 	forward->attempt.exchange = links_send(front->links, endpoint, text,
 					       !strcmp(head->method, "HEAD"),
 					       &forward_link_events, forward);
@@ -288,12 +295,18 @@
 
 static void fail_without_endpoint(forward_t *forward)
 {
-	ms_t quiet = fleet_quiet_time(forward->front->fleet,
-				      forward_now(forward), forward->service);
+	ms_t now = forward_now(forward);
+	standing_t why;
+	ms_t time =
+		fleet_refusal_time(forward->front->fleet, now, forward->service,
+				   forward->deadline_at - now, &why);
 
-	if (quiet) {
-		forward->failure_reason = "all endpoints asked for quiet";
-		forward->retry_after = quiet;
+	if (time) {
+		forward->failure_reason =
+			why == STANDING_LIMITED
+				? "all endpoints named a request limit"
+				: "all endpoints asked for quiet";
+		forward->retry_after = time;
 	}
 	if (!forward->failure_reason)
 		forward->failure_reason = "no usable endpoint";
@@ -346,6 +359,7 @@
 	forward->is_missing =
 		forward->is_missing && choice.endpoint == query.again;
 	forward->endpoint = fleet_endpoint_ref(choice.endpoint);
+	fleet_endpoint_reserve(forward->endpoint);
 	g_free(forward->last_endpoint);
 	forward->last_endpoint = g_strdup(fleet_endpoint_id(choice.endpoint));
 	if (choice.replica)
--- a/lib/front/forward_admission.c
+++ b/lib/front/forward_admission.c
@@ -156,10 +156,6 @@
 	if (forward->adapter)
 		fleet_endpoint_set_adapter(forward->endpoint, forward->adapter,
 					   version);
-	if (fleet_endpoint_standing(forward->endpoint, now) != STANDING_OPEN) {
-		forward_try_other_endpoint(forward);
-		return;
-	}
 	forward_send(forward);
 }
 
--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -16,66 +16,6 @@
 /* Largest event of a stream; those of engines hold a few tokens. */
 #define EVENT_MAX_BYTES (64 * 1024)
 
-/* An endpoint in need names a limit in all answers, for as long as it holds. */
-static void note_limit(forward_t *forward)
-{
-	fleet_endpoint_t *endpoint = forward->endpoint;
-	const response_fields_t *answer = &forward->attempt.answer;
-	double before = fleet_endpoint_limit(endpoint);
-	double limit = answer->names_limit ? answer->limit : FLEET_NO_LIMIT;
-	char text[G_ASCII_DTOSTR_BUF_SIZE];
-
-	if (answer->names_limit && limit == LIMIT_UNREADABLE) {
-		log_warn("request limit unreadable", "endpoint",
-			 fleet_endpoint_id(endpoint), NULL);
-		return;
-	}
-	if (limit == before)
-		return;
-	fleet_endpoint_note_limit(endpoint, limit);
-	if (limit == FLEET_NO_LIMIT) {
-		log_info("endpoint names no request limit any more", "endpoint",
-			 fleet_endpoint_id(endpoint), NULL);
-		return;
-	}
-	log_info("endpoint names a request limit", "endpoint",
-		 fleet_endpoint_id(endpoint), "per_s",
-		 g_ascii_dtostr(text, sizeof(text), limit), NULL);
-	if (before == FLEET_NO_LIMIT)
-		counter_add(forward->front->limited, 1);
-}
-
-/* An endpoint that leaves or wants quiet says so in any answer. */
-static void note_standing(forward_t *forward)
-{
-	front_t *front = forward->front;
-	fleet_endpoint_t *endpoint = forward->endpoint;
-	const response_fields_t *answer = &forward->attempt.answer;
-	ms_t now = forward_now(forward);
-	standing_t before = fleet_endpoint_standing(endpoint, now);
-	char *quiet;
-
-	if (answer->is_leaving && before != STANDING_LEAVING) {
-		log_info("endpoint says it is leaving", "endpoint",
-			 fleet_endpoint_id(endpoint), NULL);
-		counter_add(front->leaving, 1);
-		fleet_endpoint_note_leaving(front->fleet, endpoint);
-	}
-	if (answer->quiet) {
-		quiet = g_strdup_printf("%" G_GINT64_FORMAT,
-					(gint64)answer->quiet);
-		log_info("endpoint asks for quiet", "endpoint",
-			 fleet_endpoint_id(endpoint), "ms", quiet, NULL);
-		g_free(quiet);
-		counter_add(front->quiet, 1);
-		fleet_endpoint_note_quiet(endpoint, now, answer->quiet);
-	}
-	/* What waits for it moves on at once. */
-	if (before == STANDING_OPEN &&
-	    fleet_endpoint_standing(endpoint, now) != STANDING_OPEN)
-		forward_on_endpoint_gone(front, fleet_endpoint_id(endpoint));
-}
-
 static gboolean on_head(void *ctx, const http1_head_t *head)
 {
 	forward_t *forward = ctx;
@@ -87,8 +27,8 @@
 	if (forward->attempt.answer.has_load)
 		fleet_endpoint_note_load(forward->endpoint,
 					 forward_now(forward), load);
-	note_standing(forward);
-	note_limit(forward);
+	front_note_answer_head(forward->front, forward->endpoint,
+			       &forward->attempt.answer, forward->sent_at);
 	exchange_set_idle(forward->attempt.exchange,
 			  forward->attempt.answer.idle_timeout);
 	/* The endpoint may send the answer to another request. */
--- a/lib/front/forward_end.c
+++ b/lib/front/forward_end.c
@@ -53,6 +53,8 @@
 		return;
 	if (forward->state == FORWARD_SENT)
 		fleet_endpoint_end(forward->endpoint);
+	else
+		fleet_endpoint_unreserve(forward->endpoint);
 	g_clear_pointer(&forward->endpoint, fleet_endpoint_unref);
 }
 
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -364,6 +364,7 @@
 		.on_adapter_unloaded = on_adapter_unloaded,
 		.on_updates = front_on_updates,
 		.on_parts = front_on_parts,
+		.on_endpoint_news = front_on_endpoint_news,
 		.on_peer = front_on_peer,
 		.on_instance = front_on_instance,
 		.service = service_of,
@@ -446,7 +447,8 @@
 	front->admissions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  g_free, NULL);
 	create_metrics(front);
-	front->fleet = fleet_create(process_settings(process)->failure_domain);
+	front->fleet = fleet_create(process_settings(process)->instance,
+				    process_settings(process)->failure_domain);
 	front->links = links_create(&links);
 	if (!check_peer_address(front, error) || !create_budget(front, error) ||
 	    !create_store(front, error))
--- a/lib/front/front_items.c
+++ b/lib/front/front_items.c
@@ -260,6 +260,8 @@
 	front_t *front = ctx;
 
 	relay_set_instance(front->relay, instance, is_alive);
+	fleet_set_instance(front->fleet, ms_clock_now(front->clock), instance,
+			   is_alive);
 }
 
 void front_on_synced(void *ctx)
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -162,6 +162,18 @@
 void front_on_parts(void *ctx, const parts_message_t *message);
 void front_on_peer(void *ctx, const char *instance);
 
+/*
+ * front_endpoints.c: what endpoints say about themselves in their answers, and
+ * what the other instances have heard.
+ */
+
+/* The endpoint's answer to a request sent at sent_at has begun. */
+void front_note_answer_head(front_t *front, fleet_endpoint_t *endpoint,
+			    const response_fields_t *answer, ms_t sent_at);
+void front_on_endpoint_news(void *ctx, const endpoint_message_t *message);
+/* Tells an instance of the request limits that are known here. */
+void front_tell_limits(front_t *front, const char *instance);
+
 /* forward.c: forwards a request from its caller to an endpoint. */
 void forward_begin(front_t *front, call_t *call);
 void forward_on_caller_gone(forward_t *forward);
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -30,10 +30,13 @@
 /* A reported load is ignored after this time. */
 #define LOAD_STALE_MS 2000
 
-fleet_t *fleet_create(const char *failure_domain)
+fleet_t *fleet_create(const char *instance, const char *failure_domain)
 {
 	fleet_t *fleet = g_new0(fleet_t, 1);
 
+	fleet->instance = g_strdup(instance);
+	fleet->instances =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->failure_domain = g_strdup(failure_domain);
 	fleet->endpoints =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -48,6 +51,8 @@
 {
 	g_hash_table_destroy(fleet->endpoints);
 	g_hash_table_destroy(fleet->stale_services);
+	g_hash_table_destroy(fleet->instances);
+	g_free(fleet->instance);
 	g_free(fleet->failure_domain);
 	g_free(fleet);
 }
@@ -64,6 +69,7 @@
 		return;
 	g_hash_table_destroy(endpoint->adapters);
 	g_strfreev(endpoint->models);
+	fleet_endpoint_end_limit(endpoint);
 	g_free(endpoint->id);
 	g_free(endpoint->service);
 	g_free(endpoint->address);
@@ -83,7 +89,6 @@
 	endpoint->failure_domain = g_strdup(info->failure_domain);
 	endpoint->started_at = info->started_at;
 	endpoint->reported_at = -LOAD_STALE_MS;
-	endpoint->limit = FLEET_NO_LIMIT;
 	endpoint->adapters =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return endpoint;
@@ -205,6 +210,11 @@
 	return endpoint->port;
 }
 
+int64_t fleet_endpoint_started_at(const fleet_endpoint_t *endpoint)
+{
+	return endpoint->started_at;
+}
+
 int fleet_endpoint_places(const fleet_endpoint_t *endpoint)
 {
 	return endpoint->places;
@@ -224,13 +234,30 @@
 	return endpoint->is_usable;
 }
 
-standing_t fleet_endpoint_standing(const fleet_endpoint_t *endpoint, ms_t now)
+static standing_t standing(const fleet_endpoint_t *endpoint, ms_t now,
+			   guint reserved)
 {
 	if (endpoint->has_said_leaving)
 		return STANDING_LEAVING;
 	if (!endpoint->is_usable)
 		return STANDING_GONE;
-	return now < endpoint->quiet_until ? STANDING_QUIET : STANDING_OPEN;
+	if (now < endpoint->quiet_until)
+		return STANDING_QUIET;
+	if (endpoint->limit &&
+	    request_limit_wait(endpoint->limit, now, reserved))
+		return STANDING_LIMITED;
+	return STANDING_OPEN;
+}
+
+standing_t fleet_endpoint_standing(const fleet_endpoint_t *endpoint, ms_t now)
+{
+	return standing(endpoint, now, endpoint->reserved);
+}
+
+gboolean fleet_endpoint_takes_reserved(const fleet_endpoint_t *endpoint,
+				       ms_t now)
+{
+	return standing(endpoint, now, 0) == STANDING_OPEN;
 }
 
 void fleet_endpoint_note_leaving(fleet_t *fleet, fleet_endpoint_t *endpoint)
@@ -250,38 +277,6 @@
 	return endpoint->quiet_until;
 }
 
-void fleet_endpoint_note_limit(fleet_endpoint_t *endpoint, double limit)
-{
-	endpoint->limit = limit;
-}
-
-double fleet_endpoint_limit(const fleet_endpoint_t *endpoint)
-{
-	return endpoint->limit;
-}
-
-ms_t fleet_quiet_time(const fleet_t *fleet, ms_t now, const char *service)
-{
-	GHashTableIter iter;
-	gpointer value;
-	ms_t shortest = 0;
-
-	g_hash_table_iter_init(&iter, fleet->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const fleet_endpoint_t *endpoint = value;
-		standing_t standing = fleet_endpoint_standing(endpoint, now);
-		ms_t left = endpoint->quiet_until - now;
-
-		if (strcmp(endpoint->service, service))
-			continue;
-		if (standing == STANDING_OPEN)
-			return 0;
-		if (standing == STANDING_QUIET)
-			shortest = shortest ? MIN(shortest, left) : left;
-	}
-	return shortest;
-}
-
 int64_t fleet_endpoint_adapter(const fleet_endpoint_t *endpoint,
 			       const char *adapter)
 {
@@ -301,9 +296,10 @@
 		g_hash_table_remove(endpoint->adapters, adapter);
 }
 
-void fleet_endpoint_begin(fleet_endpoint_t *endpoint)
+void fleet_endpoint_begin(fleet_endpoint_t *endpoint, ms_t now)
 {
 	endpoint->in_flight++;
+	fleet_endpoint_count_call(endpoint, now);
 }
 
 void fleet_endpoint_end(fleet_endpoint_t *endpoint)
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -33,6 +33,7 @@
 #include <stdint.h>
 
 #include "base/clock.h"
+#include "route/request_limit.h"
 
 typedef struct fleet fleet_t;
 
@@ -60,7 +61,8 @@
 	int places;
 } endpoint_load_t;
 
-fleet_t *fleet_create(const char *failure_domain);
+/* instance: the name of this one. */
+fleet_t *fleet_create(const char *instance, const char *failure_domain);
 void fleet_destroy(fleet_t *fleet);
 
 /* Adds or updates an endpoint, or replaces it by another incarnation. */
@@ -81,6 +83,8 @@
 const char *fleet_endpoint_service(const fleet_endpoint_t *endpoint);
 const char *fleet_endpoint_address(const fleet_endpoint_t *endpoint);
 int fleet_endpoint_port(const fleet_endpoint_t *endpoint);
+/* Distinguishes incarnations of one id. */
+int64_t fleet_endpoint_started_at(const fleet_endpoint_t *endpoint);
 int fleet_endpoint_places(const fleet_endpoint_t *endpoint);
 /* Whether the endpoint holds this base model; TRUE if model is NULL. */
 gboolean fleet_endpoint_has_model(const fleet_endpoint_t *endpoint,
@@ -93,7 +97,8 @@
 	STANDING_OPEN,
 	STANDING_GONE,	  /* unlisted, or listed as leaving */
 	STANDING_LEAVING, /* it said itself that it is leaving */
-	STANDING_QUIET	  /* it asked for a time without requests */
+	STANDING_QUIET,	  /* it asked for a time without requests */
+	STANDING_LIMITED  /* it named a limit; this instance's share is used */
 } standing_t;
 
 standing_t fleet_endpoint_standing(const fleet_endpoint_t *endpoint, ms_t now);
@@ -109,18 +114,37 @@
 /* Returns the end of that time; in the past if there is none. */
 ms_t fleet_endpoint_quiet_until(const fleet_endpoint_t *endpoint);
 
-/* The requests a second that the endpoint takes from all instances together. */
-#define FLEET_NO_LIMIT (-1.0)
+/* An instance, also this one, has started or ended. */
+void fleet_set_instance(fleet_t *fleet, ms_t now, const char *instance,
+			gboolean is_alive);
 
-/* The endpoint named this limit in an answer; FLEET_NO_LIMIT: it named none. */
-void fleet_endpoint_note_limit(fleet_endpoint_t *endpoint, double limit);
-double fleet_endpoint_limit(const fleet_endpoint_t *endpoint);
+/*
+ * The endpoint takes so many calls a second from all instances together.  It
+ * said so to this instance now, or to another one a moment ago.
+ */
+void fleet_endpoint_note_limit(fleet_t *fleet, fleet_endpoint_t *endpoint,
+			       ms_t now, double per_s, gboolean is_own);
+void fleet_endpoint_end_limit(fleet_endpoint_t *endpoint);
+/* Returns NULL if the endpoint names none. */
+request_limit_t *fleet_endpoint_limit(const fleet_endpoint_t *endpoint);
+void fleet_foreach_limited(const fleet_t *fleet,
+			   void (*visit)(void *ctx, fleet_endpoint_t *endpoint),
+			   void *ctx);
+/* Whether this instance is the one that sends orders to the engine. */
+void fleet_endpoint_set_holder(fleet_t *fleet, fleet_endpoint_t *endpoint,
+			       ms_t now, gboolean is_holder);
+/* Returns the time until its limit leaves room for a call of this instance. */
+ms_t fleet_endpoint_limit_wait(const fleet_endpoint_t *endpoint, ms_t now);
+/* Counts an order or a report. */
+void fleet_endpoint_count_call(fleet_endpoint_t *endpoint, ms_t now);
 
 /*
- * Returns the shortest time that an endpoint of the service still wants no
- * request; 0 if one may be sent a request or none is known.
+ * Returns the shortest time after which an endpoint of the service takes one
+ * more request, and why it takes none now; 0 if one may be sent a request or
+ * none is known.  The caller has left after time_left.
  */
-ms_t fleet_quiet_time(const fleet_t *fleet, ms_t now, const char *service);
+ms_t fleet_refusal_time(fleet_t *fleet, ms_t now, const char *service,
+			ms_t time_left, standing_t *why);
 
 /* Returns the version of the adapter that is resident there, or 0. */
 int64_t fleet_endpoint_adapter(const fleet_endpoint_t *endpoint,
@@ -129,8 +153,22 @@
 void fleet_endpoint_set_adapter(fleet_endpoint_t *endpoint, const char *adapter,
 				int64_t version);
 
+/*
+ * Keep room in the endpoint's limit for a request that waits to be sent, or
+ * give it up.
+ */
+void fleet_endpoint_reserve(fleet_endpoint_t *endpoint);
+void fleet_endpoint_unreserve(fleet_endpoint_t *endpoint);
+
+/*
+ * Whether a request with a reservation may be sent: the endpoint may have said
+ * otherwise since.
+ */
+gboolean fleet_endpoint_takes_reserved(const fleet_endpoint_t *endpoint,
+				       ms_t now);
+
 /* Count a request that is sent, and one that has ended. */
-void fleet_endpoint_begin(fleet_endpoint_t *endpoint);
+void fleet_endpoint_begin(fleet_endpoint_t *endpoint, ms_t now);
 void fleet_endpoint_end(fleet_endpoint_t *endpoint);
 
 void fleet_endpoint_note_load(fleet_endpoint_t *endpoint, ms_t now,
--- a/lib/route/fleet_private.h
+++ b/lib/route/fleet_private.h
@@ -22,8 +22,10 @@
 	gboolean is_usable;
 	gboolean has_said_leaving;
 	ms_t quiet_until;
-	double limit;  /* requests a second, or FLEET_NO_LIMIT */
-	char **models; /* NULL-terminated */
+	request_limit_t *limit; /* NULL for none */
+	guint reserved;		/* requests that wait to be sent */
+	gboolean is_holder;	/* this instance is its holder */
+	char **models;		/* NULL-terminated */
 	int places;
 	gboolean is_long_engine; /* reserved for long prompts */
 	GHashTable *adapters;	 /* name to version */
@@ -38,7 +40,9 @@
 };
 
 struct fleet {
+	char *instance; /* the name of this one */
 	char *failure_domain;
+	GHashTable *instances; /* names of those alive, without this one */
 	GHashTable *endpoints; /* id to fleet_endpoint_t */
 	/* Services whose engines for long prompts must be selected again. */
 	GHashTable *stale_services;
--- a/t/unit/test-link.c
+++ b/t/unit/test-link.c
@@ -115,7 +115,7 @@
 	uv_timer_init(&fixture->loop, &fixture->limit);
 	uv_timer_start(&fixture->limit, on_limit, 20000, 0);
 	fixture->clock = ms_clock_create_system();
-	fixture->fleet = fleet_create("a");
+	fixture->fleet = fleet_create("front-1", "a");
 	fixture->body = g_string_new(NULL);
 	fixture->links = links_create(
 		&(links_options_t){&fixture->loop, fixture->clock});
