t0820: a store that comes back older, failing

Three instances; a route, an endpoint that leaves and an engine that changed hands are lost. On this commit:

not ok: t0820-front-store-restored: a new route is served (404 404 for 200 200)

--- a/lib/standin/kv_store.c
+++ b/lib/standin/kv_store.c
@@ -73,6 +73,46 @@
 	g_free(store);
 }
 
+static gboolean copy_record(gpointer key, gpointer value, gpointer ctx)
+{
+	kv_record_t *record = record_copy(value);
+
+	g_tree_insert(ctx, record->key, record);
+	return FALSE;
+}
+
+kv_store_t *kv_store_copy(const kv_store_t *store)
+{
+	kv_store_t *copy = kv_store_create(store->listener, store->ctx);
+	GHashTableIter iter;
+	gpointer value;
+	GList *at;
+
+	copy->last_dropped_revision = store->last_dropped_revision;
+	copy->revision = store->revision;
+	copy->next_lease = store->next_lease;
+	g_tree_foreach(store->records, copy_record, copy->records);
+	for (at = store->history.head; at; at = at->next)
+		g_queue_push_tail(&copy->history, record_copy(at->data));
+	g_hash_table_iter_init(&iter, store->leases);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		lease_entry_t *lease = g_memdup2(value, sizeof(*lease));
+
+		g_hash_table_insert(copy->leases, &lease->id, lease);
+	}
+	return copy;
+}
+
+void kv_store_delay_leases(kv_store_t *store, ms_t time)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, store->leases);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((lease_entry_t *)value)->end += time;
+}
+
 int64_t kv_store_revision(const kv_store_t *store)
 {
 	return store->revision;
--- a/lib/standin/kv_store.h
+++ b/lib/standin/kv_store.h
@@ -38,6 +38,12 @@
 kv_store_t *kv_store_create(kv_store_listener_t listener, void *ctx);
 void kv_store_destroy(kv_store_t *store);
 
+/* Returns a copy of the state and the history as they are now. */
+kv_store_t *kv_store_copy(const kv_store_t *store);
+
+/* All leases expire later by this time, as if the service had been stopped. */
+void kv_store_delay_leases(kv_store_t *store, ms_t time);
+
 /* Returns the revision of the last change. */
 int64_t kv_store_revision(const kv_store_t *store);
 
