hold/engine_locks: the last holder goes on after the store's return

Cause: nobody sent orders until the lease and the gap between two holders had passed, also the holder itself. But a successor can have sent none yet if that holder's lease was valid until less than the gap ago: it would have waited for the lease of its predecessor and for the gap after the record of that instance had gone, which takes longer.

Such a holder sends orders again as soon as its lease is confirmed and a record of the new history names it, also one that it has to write anew. One that finds another instance's record does not.

Test: test-engine-locks.

--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -286,7 +286,7 @@
 			    gboolean is_other)
 {
 	engine_locks_begin_history(adapters->engine_locks, now_of(adapters),
-				   history);
+				   lease_valid_until(adapters->lease), history);
 	if (is_other)
 		lease_begin_history(adapters->lease);
 }
--- a/lib/hold/engine_locks.c
+++ b/lib/hold/engine_locks.c
@@ -28,6 +28,8 @@
 	ms_t order_not_before; /* while the lock is held */
 	/* The record may not name the last holder, who may send orders. */
 	ms_t unproven_until;
+	/* Nobody else can have sent an order before the history changed. */
+	gboolean is_last_holder;
 	ms_t retry_at;
 	gboolean is_acquiring;
 	guint rank;		   /* of this instance in the succession */
@@ -150,10 +152,11 @@
 }
 
 void engine_locks_begin_history(engine_locks_t *engine_locks, ms_t now,
-				int64_t history)
+				ms_t valid_until, int64_t history)
 {
+	gboolean is_fresh = now < valid_until + engine_locks->options.order_gap;
 	GHashTableIter iter;
-	gpointer engine;
+	gpointer value;
 
 	engine_locks->settled_at = now + engine_locks->options.lease_ttl +
 				   engine_locks->options.order_gap;
@@ -165,8 +168,12 @@
 	engine_locks->is_history_known = TRUE;
 	engine_locks->history = history;
 	g_hash_table_iter_init(&iter, engine_locks->engines);
-	while (g_hash_table_iter_next(&iter, NULL, &engine))
-		((engine_t *)engine)->is_former = TRUE;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		engine_t *engine = value;
+
+		engine->is_former = TRUE;
+		engine->is_last_holder = engine->is_reported_held && is_fresh;
+	}
 }
 
 int64_t engine_locks_history(const engine_locks_t *engine_locks)
@@ -251,6 +258,8 @@
 	    !strcmp(record->holder, engine_locks->instance) &&
 	    record->incarnation == engine_locks->lease)
 		note_acquired(engine_locks, now, engine);
+	if (record->revision && strcmp(record->holder, engine_locks->instance))
+		engine->is_last_holder = FALSE;
 	g_free(engine->holder);
 	engine->holder = g_strdup(record->holder);
 	engine->incarnation = record->incarnation;
@@ -496,9 +505,10 @@
 
 	return engine && engine->is_listed &&
 	       is_held_here(engine_locks, engine) && now < valid_until &&
-	       now >= engine->order_not_before &&
-	       now >= engine->unproven_until &&
-	       now >= engine_locks->no_order_before && !engine->is_former &&
+	       now >= engine->order_not_before && !engine->is_former &&
+	       (engine->is_last_holder ||
+		(now >= engine->unproven_until &&
+		 now >= engine_locks->no_order_before)) &&
 	       fencing_number(engine_locks, engine) >= engine->fence;
 }
 
--- a/lib/hold/engine_locks.h
+++ b/lib/hold/engine_locks.h
@@ -21,7 +21,9 @@
  * The service may come back from an older copy: it has another history then, in
  * which locks may have their former holders or none.  The last holder may not
  * know that yet, but it sends no order after its lease has expired.  So no
- * orders are sent for that time and the gap, whoever the record names.  A
+ * orders are sent for that time and the gap, whoever the record names.  Only a
+ * holder whose lease expired less than the gap ago goes on: a successor would
+ * still have waited.  A
  * record of a former history does not say who held the lock last; a process
  * that finds one, or none, as it starts waits alike, unless the engine says
  * that it has never had an order.
@@ -100,10 +102,11 @@
 
 /*
  * The service has the history with this number, as this instance learns now.
- * All records have to be set again if it is not the first one.
+ * All records have to be set again if it is not the first one.  valid_until is
+ * of this process's lease in the history before.
  */
 void engine_locks_begin_history(engine_locks_t *engine_locks, ms_t now,
-				int64_t history);
+				ms_t valid_until, int64_t history);
 /* Returns 0 while it is not known. */
 int64_t engine_locks_history(const engine_locks_t *engine_locks);
 
--- a/t/unit/test-engine-locks.c
+++ b/t/unit/test-engine-locks.c
@@ -192,7 +192,7 @@
 static void create_holder(process_t *process)
 {
 	process_create(process, "one");
-	engine_locks_begin_history(process->engine_locks, 0, HISTORY);
+	engine_locks_begin_history(process->engine_locks, 0, 0, HISTORY);
 	engine_locks_set_lease(process->engine_locks, 0, 11);
 	engine_locks_set_instance(process->engine_locks, 0, "one", 11);
 	engine_locks_set_instance(process->engine_locks, 0, "two", 12);
@@ -200,6 +200,12 @@
 	set_record_of(process, 0, "one", 11, 50, HISTORY);
 }
 
+static void begin_next_history(process_t *process, ms_t now, ms_t valid_until)
+{
+	engine_locks_begin_history(process->engine_locks, now, valid_until,
+				   HISTORY + 1);
+}
+
 /* When the holders of the history before have sent their last orders. */
 #define SETTLED_MS (LEASE_MS + GAP_MS)
 
@@ -215,7 +221,7 @@
 
 	create_holder(&one);
 	number = fencing_number(&one, 10000);
-	engine_locks_begin_history(one.engine_locks, back, HISTORY + 1);
+	begin_next_history(&one, back, back - GAP_MS);
 	assert_false(may_order(&one, back));
 	/* Until then it is the holder that admits requests. */
 	assert_string_equal(engine_locks_holder(one.engine_locks, "e"), "one");
@@ -227,6 +233,44 @@
 	engine_locks_destroy(one.engine_locks);
 }
 
+/*
+ * No other instance can have sent an order after this one: it goes on at once,
+ * also if it has to acquire the lock anew, but not if another one was faster.
+ */
+static void test_last_holder_after_return(void **state)
+{
+	process_t one;
+	ms_t back = 20000;
+	ms_t valid_until = back - GAP_MS + 1;
+	int64_t number;
+
+	create_holder(&one);
+	number = fencing_number(&one, 10000);
+	begin_next_history(&one, back, valid_until);
+	assert_false(may_order(&one, back));
+	set_record_of(&one, back, "one", 11, 30, HISTORY);
+	assert_true(may_order(&one, back));
+	assert_true(fencing_number(&one, back) > number);
+	engine_locks_destroy(one.engine_locks);
+
+	create_holder(&one);
+	begin_next_history(&one, back, valid_until);
+	set_record_of(&one, back, "", 0, 0, 0);
+	assert_false(may_order(&one, back));
+	engine_locks_write_done(one.engine_locks, back + 10, "e", 32);
+	assert_true(may_order(&one, back + 10));
+	engine_locks_destroy(one.engine_locks);
+
+	create_holder(&one);
+	begin_next_history(&one, back, valid_until);
+	set_record_of(&one, back, "two", 12, 31, HISTORY + 1);
+	set_record_of(&one, back + 10, "", 0, 32, HISTORY + 1);
+	engine_locks_write_done(one.engine_locks, back + 20, "e", 33);
+	assert_false(may_order(&one, back + SETTLED_MS - 1));
+	assert_true(may_order(&one, back + SETTLED_MS));
+	engine_locks_destroy(one.engine_locks);
+}
+
 /*
  * The store has forgotten the lock, or remembers a former holder: this one must
  * not go on, and acquires it anew with a higher number.
@@ -239,7 +283,7 @@
 
 	create_holder(&one);
 	number = fencing_number(&one, 10000);
-	engine_locks_begin_history(one.engine_locks, back, HISTORY + 1);
+	begin_next_history(&one, back, back - GAP_MS);
 	set_record_of(&one, back, "two", 12, 30, HISTORY);
 	assert_string_equal(engine_locks_holder(one.engine_locks, "e"), "two");
 	assert_false(may_order(&one, back + SETTLED_MS));
@@ -268,7 +312,7 @@
 	process_t one;
 
 	process_create(&one, "one");
-	engine_locks_begin_history(one.engine_locks, 0, HISTORY + 1);
+	engine_locks_begin_history(one.engine_locks, 0, 0, HISTORY + 1);
 	engine_locks_set_instance(one.engine_locks, 0, "one", 21);
 	engine_locks_set_engine(one.engine_locks, 0, "e", TRUE);
 	set_record_of(&one, 0, "one", 11, 5, HISTORY);
@@ -378,6 +422,7 @@
 		cmocka_unit_test(test_released),
 		cmocka_unit_test(test_restarted_holder),
 		cmocka_unit_test(test_holder_after_return),
+		cmocka_unit_test(test_last_holder_after_return),
 		cmocka_unit_test(test_forgotten_lock),
 		cmocka_unit_test(test_restarted_holder_after_return),
 		cmocka_unit_test(test_succession_in_large_fleet),
