base/json_member: refuse JSON that nests too deeply, wherever it comes from outside

What other operators saw: one odd entry among those of the servers, and the machines that read the list ended again and again. It happens here: an entry of another writer with 500,000 brackets ends every instance that reads it, and each that starts after it.

Cause: json-glib parses by recursion and has no limit of depth. Settings, configuration documents and callers' bodies were checked for it; entries of the platform's store, reports of engines, and in hc-entry and hc-owner the platform's list, records and answers were not. json_load() checks all of them now.

Test: t0821 on the commit before: "timed out waiting for: is_ready 3", both instances that ran had ended; test-platform: test_deep_endpoint ended the program.

--- a/lib/admin/admin_fleet.c
+++ b/lib/admin/admin_fleet.c
@@ -4,6 +4,7 @@
 
 #include "admin/admin_private.h"
 #include "admin/fleet.h"
+#include "base/json_member.h"
 
 #define TRACE_ID_LENGTH 32
 
@@ -12,7 +13,7 @@
 	JsonNode *node = NULL;
 
 	if (response->body)
-		node = json_from_string(response->body, NULL);
+		node = json_load_node(response->body);
 	if (node && !JSON_NODE_HOLDS_OBJECT(node)) {
 		json_node_unref(node);
 		node = NULL;
--- a/lib/admin/fleet.c
+++ b/lib/admin/fleet.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/json_member.h"
 
 #define QUERY_TIMEOUT_MS  2000
 #define QUERIES_OPEN_MAX  64
@@ -140,8 +141,7 @@
 	GList *names;
 	GList *at;
 
-	if (json_parser_load_from_data(parser, item->value, (gssize)item->size,
-				       NULL))
+	if (json_load(parser, item->value, (gssize)item->size, NULL))
 		node = json_parser_get_root(parser);
 	if (node && JSON_NODE_HOLDS_OBJECT(node))
 		node = json_object_get_member(json_node_get_object(node),
--- a/lib/base/json_member.c
+++ b/lib/base/json_member.c
@@ -1,12 +1,47 @@
 #include "base/json_member.h"
 
+#include <string.h>
+
+#include "base/error.h"
+#include "base/json_text.h"
+
+gboolean json_load(JsonParser *parser, const char *text, gssize size,
+		   GError **error)
+{
+	size_t length = size < 0 ? strlen(text) : (size_t)size;
+	char *copy = g_malloc(length + 1);
+	gboolean ok = FALSE;
+
+	memcpy(copy, text, length);
+	copy[length] = '\0';
+	if (json_text_prepare(copy, length))
+		error_set(error, ERROR_INVALID,
+			  "brackets nest too deeply; send less nested JSON");
+	else
+		ok = json_parser_load_from_data(parser, copy, (gssize)length,
+						error);
+	g_free(copy);
+	return ok;
+}
+
+JsonNode *json_load_node(const char *text)
+{
+	JsonParser *parser = json_parser_new();
+	JsonNode *root = NULL;
+
+	if (json_load(parser, text, -1, NULL))
+		root = json_parser_steal_root(parser);
+	g_object_unref(parser);
+	return root;
+}
+
 JsonParser *json_parse_object(const char *text, size_t size,
 			      JsonObject **object)
 {
 	JsonParser *parser = json_parser_new();
 	JsonNode *root = NULL;
 
-	if (json_parser_load_from_data(parser, text, (gssize)size, NULL))
+	if (json_load(parser, text, (gssize)size, NULL))
 		root = json_parser_get_root(parser);
 	if (root && JSON_NODE_HOLDS_OBJECT(root)) {
 		*object = json_node_get_object(root);
--- a/lib/base/json_member.h
+++ b/lib/base/json_member.h
@@ -11,6 +11,17 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/*
+ * As json_parser_load_from_data(), for a text from outside: fails if brackets
+ * nest too deeply, as json-glib would overflow the stack.  size is in bytes; -1
+ * for a text that ends with NUL.
+ */
+gboolean json_load(JsonParser *parser, const char *text, gssize size,
+		   GError **error);
+
+/* Returns the root of a text that ends with NUL, or NULL.  Free it. */
+JsonNode *json_load_node(const char *text);
+
 /*
  * Parses a text that consists of one JSON object; returns NULL for any other
  * text.  *object belongs to the returned parser, which the caller unrefs.
--- a/lib/claim/claim_record.c
+++ b/lib/claim/claim_record.c
@@ -94,7 +94,7 @@
 	JsonNode *root = NULL;
 
 	memset(record, 0, sizeof(*record));
-	if (json_parser_load_from_data(parser, text, (gssize)size, NULL))
+	if (json_load(parser, text, (gssize)size, NULL))
 		root = json_parser_get_root(parser);
 	if (root && JSON_NODE_HOLDS_OBJECT(root))
 		is_valid = parse_object(json_node_get_object(root), record);
--- a/lib/config/chunk.c
+++ b/lib/config/chunk.c
@@ -6,6 +6,7 @@
 
 #include "base/error.h"
 #include "base/json_build.h"
+#include "base/json_member.h"
 
 #define NAMES_MAX 20000
 
@@ -277,7 +278,7 @@
 	JsonNode *root = NULL;
 
 	if (g_utf8_validate(text, (gssize)size, NULL) &&
-	    json_parser_load_from_data(parser, text, (gssize)size, NULL))
+	    json_load(parser, text, (gssize)size, NULL))
 		root = json_parser_get_root(parser);
 	if (!root || !JSON_NODE_HOLDS_OBJECT(root) ||
 	    !read_manifest(json_node_get_object(root), manifest)) {
--- a/lib/ctl/ctl.c
+++ b/lib/ctl/ctl.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/json_member.h"
 #include "config/validate.h"
 #include "ctl/ctl_call.h"
 #include "ctl/ctl_print.h"
@@ -63,7 +64,7 @@
 static int print_response(const ctl_options_t *options,
 			  const ctl_response_t *response, ctl_print_t print)
 {
-	JsonNode *node = json_from_string(response->body, NULL);
+	JsonNode *node = json_load_node(response->body);
 	gboolean ok = response->status < STATUS_ERROR_MIN;
 
 	if (options->is_json || !node || !JSON_NODE_HOLDS_OBJECT(node))
--- a/lib/entry/answer.c
+++ b/lib/entry/answer.c
@@ -3,6 +3,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "base/json_member.h"
 #include "claim/stored_answer.h"
 
 #define HTTP_OK 200
@@ -192,8 +193,7 @@
 		const char *reason = NULL;
 		const char *added;
 
-		if (!*lines[i] ||
-		    !json_parser_load_from_data(parser, lines[i], -1, NULL))
+		if (!*lines[i] || !json_load(parser, lines[i], -1, NULL))
 			continue;
 		added = piece_text(json_parser_get_root(parser), &reason);
 		g_string_append(text, added ? added : "");
--- a/lib/front/adapters.c
+++ b/lib/front/adapters.c
@@ -309,7 +309,7 @@
 					&record);
 		return;
 	}
-	node = json_from_string(item->value, NULL);
+	node = json_load_node(item->value);
 	if (node && JSON_NODE_HOLDS_OBJECT(node))
 		object = json_node_get_object(node);
 	record.holder = json_member_text(object, "holder");
--- a/lib/load/check.c
+++ b/lib/load/check.c
@@ -91,8 +91,7 @@
 	JsonParser *parser = json_parser_new_immutable();
 	gboolean is_valid = FALSE;
 
-	if (size &&
-	    json_parser_load_from_data(parser, data, (gssize)size, NULL)) {
+	if (size && json_load(parser, data, (gssize)size, NULL)) {
 		JsonNode *root = json_parser_get_root(parser);
 		JsonObject *object = root && JSON_NODE_HOLDS_OBJECT(root)
 					     ? json_node_get_object(root)
--- a/lib/member/list_client.c
+++ b/lib/member/list_client.c
@@ -5,6 +5,7 @@
 
 #include "base/counter.h"
 #include "base/error.h"
+#include "base/json_member.h"
 #include "base/log.h"
 
 /* Timeout of one read, in milliseconds. */
@@ -130,7 +131,7 @@
 	JsonNode *node;
 	gboolean is_valid = FALSE;
 
-	if (json_parser_load_from_data(parser, text, size, NULL)) {
+	if (json_load(parser, text, size, NULL)) {
 		node = json_parser_get_root(parser);
 		if (node && JSON_NODE_HOLDS_OBJECT(node))
 			root = json_node_get_object(node);
--- a/lib/own/ownership_predecessor.c
+++ b/lib/own/ownership_predecessor.c
@@ -17,6 +17,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/json_member.h"
 #include "own/ownership_internal.h"
 
 char *own_parse_place(const char *text, size_t size)
@@ -25,7 +26,7 @@
 	JsonNode *root = NULL;
 	char *place = NULL;
 
-	if (json_parser_load_from_data(parser, text, (gssize)size, NULL))
+	if (json_load(parser, text, (gssize)size, NULL))
 		root = json_parser_get_root(parser);
 	if (root && JSON_NODE_HOLDS_OBJECT(root))
 		place = g_strdup(json_object_get_string_member_with_default(
--- a/lib/own/record.c
+++ b/lib/own/record.c
@@ -206,7 +206,7 @@
 	endpoint_record_t *record = NULL;
 	JsonNode *root = NULL;
 
-	if (json_parser_load_from_data(parser, text, (gssize)size, NULL))
+	if (json_load(parser, text, (gssize)size, NULL))
 		root = json_parser_get_root(parser);
 	if (root && JSON_NODE_HOLDS_OBJECT(root))
 		record = parse_object(json_node_get_object(root));
--- a/lib/owner/endpoint_client.c
+++ b/lib/owner/endpoint_client.c
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 
 #include "base/counter.h"
+#include "base/json_member.h"
 #include "http/event_stream.h"
 #include "owner/load_report.h"
 
@@ -130,8 +131,7 @@
 	JsonNode *root = NULL;
 
 	if (g_utf8_validate(data, (gssize)size, NULL) &&
-	    json_parser_load_from_data(client->parser, data, (gssize)size,
-				       NULL))
+	    json_load(client->parser, data, (gssize)size, NULL))
 		root = json_parser_get_root(client->parser);
 	return root && JSON_NODE_HOLDS_OBJECT(root);
 }
@@ -287,8 +287,7 @@
 	JsonNode *root;
 	char *body;
 
-	if (!input || !json_parser_load_from_data(parser, input,
-						  (gssize)input_size, NULL)) {
+	if (!input || !json_load(parser, input, (gssize)input_size, NULL)) {
 		g_object_unref(parser);
 		*size = 2;
 		return g_strdup("{}");
--- a/lib/owner/load_report.c
+++ b/lib/owner/load_report.c
@@ -3,6 +3,8 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "base/json_member.h"
+
 #define SLOTS_MAX 4096
 
 static void parse_slot(JsonObject *object, load_report_slot_t *slot)
@@ -56,7 +58,7 @@
 	JsonParser *parser = json_parser_new();
 	gboolean ok = FALSE;
 
-	if (json_parser_load_from_data(parser, text, (gssize)size, NULL))
+	if (json_load(parser, text, (gssize)size, NULL))
 		ok = parse_slots(json_parser_get_root(parser), report);
 	g_object_unref(parser);
 	return ok;
--- a/lib/owner/membership.c
+++ b/lib/owner/membership.c
@@ -3,6 +3,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "base/json_member.h"
 #include "base/log.h"
 #include "member/list_client.h"
 #include "member/member.h"
@@ -186,7 +187,7 @@
 
 	if (!strcmp(name, self_name(membership)))
 		return;
-	root = json_from_string(item->value, NULL);
+	root = json_load_node(item->value);
 	if (root && JSON_NODE_HOLDS_OBJECT(root)) {
 		object = json_node_get_object(root);
 		place.address =
--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -165,6 +165,18 @@
 		{"\"zone\":\"a\"", "\"zone\":{}"},
 		{"\"slots\":64", "\"slots\":\"64\""},
 		{"\"born\":1791189534531", "\"born\":1.5"},
+		{"\"born\":1791189534531", "\"born\":1e400"},
+		{"\"born\":1791189534531", "\"born\":99999999999999999999"},
+		{"\"slots\":64", "\"slots\":99999999999999999999"},
+		{"\"slots\":64", "\"slots\":1e400"},
+		{"\"slots\":64", "\"slots\":-1"},
+		{"10.1.64.9:8384", "10.1.64.9:0"},
+		{"10.1.64.9:8384", "10.1.64.9:65536"},
+		{"10.1.64.9:8384", "10.1.64.9:99999999999999999999"},
+		{"10.1.64.9:8384", "10.1.64.9:-1"},
+		{"10.1.64.9:8384", "10.1.64.900:8384"},
+		{"10.1.64.9:8384", "engine.example:8384"},
+		{"10.1.64.9:8384", ":8384"},
 		{"{\"service\"", "[{\"service\""},
 	};
 	guint i;
@@ -184,6 +196,48 @@
 	}
 }
 
+/* More brackets than a stack has room for, as in an entry of 1 MB. */
+#define NESTING_DEEP 500000
+
+/*
+ * Guards against a parser that ends the process: another writer's entry nests
+ * too deeply, in a field that is read or in one that is not.
+ */
+static void test_deep_endpoint(void **state)
+{
+	static const char *const brackets[] = {"[", "{\"a\":"};
+	decoded_endpoint_t endpoint;
+	guint i;
+	guint j;
+
+	for (i = 0; i < G_N_ELEMENTS(brackets); i++) {
+		GString *text = g_string_new(listing);
+
+		g_string_truncate(text, text->len - 1);
+		g_string_append(text, ",\"notes\":");
+		for (j = 0; j < NESTING_DEEP; j++)
+			g_string_append(text, brackets[i]);
+		assert_false(decode_endpoint("e", text->str, text->len,
+					     &endpoint, NULL));
+		g_string_free(text, TRUE);
+	}
+}
+
+/*
+ * Guards against headers in the id of an endpoint, which is sent to it in one.
+ */
+static void test_endpoint_ids(void **state)
+{
+	static const char *const ids[] = {"", "e\r\nx-a: 1", "e 1", "e\x7f",
+					  "\xc3\xa4"};
+	decoded_endpoint_t endpoint;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		assert_false(decode_endpoint(ids[i], listing, strlen(listing),
+					     &endpoint, NULL));
+}
+
 static void assert_version_error(const char *text, const char *field)
 {
 	GError *error = NULL;
@@ -514,6 +568,8 @@
 		cmocka_unit_test(test_request_limit),
 		cmocka_unit_test(test_endpoint),
 		cmocka_unit_test(test_bad_endpoint),
+		cmocka_unit_test(test_deep_endpoint),
+		cmocka_unit_test(test_endpoint_ids),
 		cmocka_unit_test(test_keys_and_versions),
 		cmocka_unit_test(test_order),
 		cmocka_unit_test(test_report),
