hold/relay: broadcast no more than a message may hold

What callers would see: instances that learn of changes up to a poll later.

Cause: updates were broadcast if the sender's link carries them in 200 ms; on a fast link that is more than the 4 MiB that an instance accepts in a message, so each receiver would have closed its connection to the poller. Values have up to 1 MB each, and a poll brings several.

Updates above 2 MiB are not broadcast: the empty range behind them makes the others poll, as after those that the link does not carry. Test: test-relay, red on the commit before.

--- a/lib/hold/relay.c
+++ b/lib/hold/relay.c
@@ -127,10 +127,11 @@
 		(double)size * (double)g_hash_table_size(relay->alive);
 	gboolean is_poller = relay_is_poller(relay);
 	gboolean must_send = is_poller || relay->was_poller;
+	gboolean is_too_large = total_size > relay->broadcast_max ||
+				size > RELAY_BROADCAST_MAX_BYTES;
 
 	relay->was_poller = is_poller;
-	range->from = total_size > relay->broadcast_max ? relay->known_revision
-							: relay->sent_up_to;
+	range->from = is_too_large ? relay->known_revision : relay->sent_up_to;
 	range->to = relay->known_revision;
 	range->as_of = relay->polled_as_of;
 	range->history = relay->history;
--- a/lib/hold/relay.h
+++ b/lib/hold/relay.h
@@ -72,6 +72,12 @@
  */
 #define RELAY_BROADCAST_MAX_MS 200
 
+/*
+ * Limit on the size of the updates in one broadcast: half of the largest
+ * message that an instance accepts (wire/frame.h).
+ */
+#define RELAY_BROADCAST_MAX_BYTES (2 * 1024 * 1024)
+
 typedef struct relay relay_t;
 
 typedef struct {
--- a/t/unit/test-relay.c
+++ b/t/unit/test-relay.c
@@ -322,6 +322,33 @@
 	relay_destroy(relay);
 }
 
+/*
+ * Guards against a message larger than an instance accepts, which would end the
+ * connection, where the link has room for it.
+ */
+static void test_update_larger_than_message(void **state)
+{
+	relay_options_t options = {.instance = name_of(0),
+				   .poll_time = POLL_MS,
+				   .skip_max = SKIP_MAX_MS,
+				   .link_bytes_per_s = 100 * LINK_BYTES_PER_S};
+	relay_t *relay = relay_create(&options);
+	relay_range_t range;
+
+	relay_set_instance(relay, name_of(0), TRUE);
+	relay_set_instance(relay, name_of(1), TRUE);
+	relay_note_full_read(relay, 10);
+	relay_note_poll(relay, 11, 100000);
+	assert_true(relay_prepare_broadcast(relay, RELAY_BROADCAST_MAX_BYTES,
+					    &range));
+	assert_int_equal(range.from, 10);
+	relay_note_poll(relay, 12, 100000);
+	assert_true(relay_prepare_broadcast(
+		relay, RELAY_BROADCAST_MAX_BYTES + 1, &range));
+	assert_int_equal(range.from, 12);
+	relay_destroy(relay);
+}
+
 /*
  * A poller returns.  The poll that shows it brings further updates, which the
  * poller that it replaces still broadcasts, and nothing after that.
@@ -398,6 +425,7 @@
 		cmocka_unit_test(test_rare_polls_within_history),
 		cmocka_unit_test(test_slow_clock),
 		cmocka_unit_test(test_large_update),
+		cmocka_unit_test(test_update_larger_than_message),
 		cmocka_unit_test(test_successor),
 		cmocka_unit_test(test_start_of_large_fleet),
 	};
