front/link: take no answer that was written once more for the next one

What other operators saw: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that a server had run, or such a request ran at a second server. It happens here with a refusal that does not state its request.

Cause: an answer without a request's id is taken if its status is 400 or more, and the connection was kept, so the refusal's second copy was taken for the answer to the next request. One that states its request is told apart by it, but for a request that is sent once more to the endpoint that refused it, as one whose adapter was missing, over the same connection.

A connection is closed after an answer that does not state its request, and a request that is sent again gets another connection than it had before.

--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -230,6 +230,10 @@
 		.priority = forward->route->priority,
 		.after_event = forward->last_event_id,
 	};
+	links_request_t request = {
+		.id = forward->fields.id,
+		.is_head_method = !strcmp(head->method, "HEAD"),
+	};
 	size_t size;
 	const char *body;
 
@@ -256,8 +260,8 @@
 	forward->sent_at = now;
 	fleet_endpoint_unreserve(endpoint);
 	fleet_endpoint_begin(endpoint, now);
-	forward->attempt.exchange = links_send(front->links, endpoint, text,
-					       !strcmp(head->method, "HEAD"),
+	request.text = text;
+	forward->attempt.exchange = links_send(front->links, endpoint, &request,
 					       &forward_link_events, forward);
 	forward_set_timer(forward);
 }
--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -35,6 +35,8 @@
 	if (forward->attempt.answer.id)
 		return !g_strcmp0(forward->attempt.answer.id,
 				  forward->fields.id);
+	/* Written once more, it would look like the next request's. */
+	exchange_close_after(forward->attempt.exchange);
 	return head->status >= 400;
 }
 
--- a/lib/front/link.c
+++ b/lib/front/link.c
@@ -49,12 +49,14 @@
 	http1_reader_t *reader;
 	link_state_t state;
 	exchange_t *exchange; /* NULL if idle or cancelled */
+	char *last_id;	      /* of the newest request, or NULL */
 	ms_t idle_timeout;
 	gboolean keeps_alive;
-	gboolean is_fresh;    /* no answer has been received on it */
-	gboolean is_written;  /* the request was written completely */
-	gboolean is_rejected; /* the owner rejected the answer */
-	gboolean is_reading;  /* http1_reader is running */
+	gboolean closes_after; /* this exchange, whatever the answer says */
+	gboolean is_fresh;     /* no answer has been received on it */
+	gboolean is_written;   /* the request was written completely */
+	gboolean is_rejected;  /* the owner rejected the answer */
+	gboolean is_reading;   /* http1_reader is running */
 } link_t;
 
 TAILQ_HEAD(link_list, link);
@@ -107,6 +109,7 @@
 	if (--link->handles)
 		return;
 	http1_reader_destroy(link->reader);
+	g_free(link->last_id);
 	g_free(link);
 }
 
@@ -285,8 +288,8 @@
 	link->exchange = NULL;
 	if (has_extra)
 		counter_add(pool->links->extra, 1);
-	if (has_extra || !link->keeps_alive || !link->is_written ||
-	    !fleet_endpoint_is_usable(pool->endpoint)) {
+	if (has_extra || !link->keeps_alive || link->closes_after ||
+	    !link->is_written || !fleet_endpoint_is_usable(pool->endpoint)) {
 		link_close(link);
 	} else {
 		link->state = LINK_IDLE;
@@ -420,7 +423,7 @@
 	return limit && pool->count >= limit;
 }
 
-/* Returns NULL if no connection can be made or the limit is reached. */
+/* Returns NULL if no connection can be made. */
 static link_t *link_open(pool_t *pool)
 {
 	static const http1_events_t events = {on_head, on_data, on_message_end};
@@ -428,8 +431,7 @@
 	struct sockaddr_in address;
 	link_t *link;
 
-	if (pool_is_full(pool) ||
-	    uv_ip4_addr(fleet_endpoint_address(pool->endpoint),
+	if (uv_ip4_addr(fleet_endpoint_address(pool->endpoint),
 			fleet_endpoint_port(pool->endpoint), &address))
 		return NULL;
 	link = g_new0(link_t, 1);
@@ -470,20 +472,47 @@
 			"connection limit reached or connect failed");
 }
 
+/* An idle connection that has not carried this request before. */
+static link_t *find_idle(const pool_t *pool, const char *id)
+{
+	link_t *link;
+
+	TAILQ_FOREACH (link, &pool->idle, entry) {
+		if (!id || g_strcmp0(link->last_id, id))
+			return link;
+	}
+	return NULL;
+}
+
+/*
+ * Opens a connection, in place of an idle one that the request may not use if
+ * the limit is reached.
+ */
+static link_t *link_open_within_limit(pool_t *pool)
+{
+	link_t *idle = TAILQ_FIRST(&pool->idle);
+	gboolean is_full = pool_is_full(pool);
+	link_t *link = is_full && !idle ? NULL : link_open(pool);
+
+	if (link && is_full)
+		link_close(idle);
+	return link;
+}
+
 exchange_t *links_send(links_t *links, fleet_endpoint_t *endpoint,
-		       GString *text, gboolean is_head_method,
+		       const links_request_t *request,
 		       const link_events_t *events, void *ctx)
 {
 	pool_t *pool = pool_get(links, endpoint);
 	exchange_t *exchange = g_new0(exchange_t, 1);
-	link_t *link = TAILQ_FIRST(&pool->idle);
+	link_t *link = find_idle(pool, request->id);
 
 	exchange->links = links;
 	exchange->events = *events;
 	exchange->ctx = ctx;
-	exchange->text = text;
+	exchange->text = request->text;
 	if (!link)
-		link = link_open(pool);
+		link = link_open_within_limit(pool);
 	if (!link) {
 		exchange->failure = g_new0(uv_timer_t, 1);
 		uv_timer_init(links->options.loop, exchange->failure);
@@ -496,7 +525,10 @@
 	link->exchange = exchange;
 	link->idle_timeout = IDLE_DEFAULT_MS;
 	link->is_rejected = FALSE;
-	http1_reader_reset(link->reader, is_head_method);
+	link->closes_after = FALSE;
+	g_free(link->last_id);
+	link->last_id = g_strdup(request->id);
+	http1_reader_reset(link->reader, request->is_head_method);
 	if (link->state == LINK_IDLE) {
 		TAILQ_REMOVE(&pool->idle, link, entry);
 		uv_timer_stop(&link->timer);
@@ -513,6 +545,11 @@
 			MIN(idle * IDLE_REUSE_PERCENT / 100, IDLE_MAX_MS);
 }
 
+void exchange_close_after(exchange_t *exchange)
+{
+	exchange->link->closes_after = TRUE;
+}
+
 void exchange_cancel(exchange_t *exchange)
 {
 	link_t *link = exchange->link;
--- a/lib/front/link.h
+++ b/lib/front/link.h
@@ -9,6 +9,10 @@
  * endpoint stated, and only if it received nothing since its last answer. Bytes
  * after a complete answer close the connection: they belong to no request.
  *
+ * An endpoint may write an earlier answer once more.  A request that is sent
+ * again gets another connection than it had before, as its id would not tell
+ * its answers apart.
+ *
  * on_end() is called exactly once unless the exchange is cancelled.
  */
 
@@ -42,6 +46,12 @@
 	const ms_clock_t *clock; /* not owned */
 } links_options_t;
 
+typedef struct {
+	GString *text;	/* head and body */
+	const char *id; /* the caller's, or NULL */
+	gboolean is_head_method;
+} links_request_t;
+
 links_t *links_create(const links_options_t *options);
 void links_destroy(links_t *links);
 
@@ -49,13 +59,16 @@
 void links_set_limit(links_t *links, const char *service, guint count);
 
 /*
- * Sends a request. text holds its head and body, and is freed here.  Holds a
+ * Sends a request, and frees its text.  Holds a
  * reference to the endpoint until the end.  Never calls back before it returns.
  */
 exchange_t *links_send(links_t *links, fleet_endpoint_t *endpoint,
-		       GString *text, gboolean is_head_method,
+		       const links_request_t *request,
 		       const link_events_t *events, void *ctx);
 
+/* Closes the connection at the end of the exchange. */
+void exchange_close_after(exchange_t *exchange);
+
 /* Sets the idle timeout that the endpoint stated for this connection. */
 void exchange_set_idle(exchange_t *exchange, ms_t idle);
 
--- a/t/unit/test-link.c
+++ b/t/unit/test-link.c
@@ -26,6 +26,7 @@
 	int port;
 	int accepted;
 	const char *answer;
+	const char *id; /* of the requests */
 	end_t end;
 	ms_clock_t *clock;
 	fleet_t *fleet;
@@ -159,6 +160,17 @@
 	return fleet_update_endpoint(fixture->fleet, &info);
 }
 
+static exchange_t *send_request(fixture_t *fixture, int port)
+{
+	links_request_t request = {
+		.text = g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		.id = fixture->id,
+	};
+
+	return links_send(fixture->links, endpoint(fixture, port), &request,
+			  &events, fixture);
+}
+
 /* Sends one request; the server answers and ends as given. */
 static link_result_t exchange(fixture_t *fixture, const char *answer, end_t end)
 {
@@ -166,9 +178,7 @@
 	fixture->end = end;
 	g_string_truncate(fixture->body, 0);
 	fixture->ended = 0;
-	links_send(fixture->links, endpoint(fixture, fixture->port),
-		   g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), FALSE,
-		   &events, fixture);
+	send_request(fixture, fixture->port);
 	assert_int_equal(fixture->ended, 0);
 	uv_run(&fixture->loop, UV_RUN_DEFAULT);
 	assert_int_equal(fixture->ended, 1);
@@ -325,19 +335,14 @@
 
 	begin(&fixture);
 	/* No server listens at this port. */
-	links_send(fixture.links, endpoint(&fixture, 1), g_string_new("x"),
-		   FALSE, &events, &fixture);
+	send_request(&fixture, 1);
 	uv_run(&fixture.loop, UV_RUN_DEFAULT);
 	assert_int_equal(fixture.result, LINK_NOT_SENT);
 	/* The limit allows no second connection. */
 	links_set_limit(fixture.links, "desk", 1);
-	links_send(fixture.links, endpoint(&fixture, fixture.port),
-		   g_string_new("GET / HTTP/1.1\r\n\r\n"), FALSE, &events,
-		   &fixture);
+	send_request(&fixture, fixture.port);
 	fixture.ended = 0;
-	links_send(fixture.links, endpoint(&fixture, fixture.port),
-		   g_string_new("GET / HTTP/1.1\r\n\r\n"), FALSE, &events,
-		   &fixture);
+	send_request(&fixture, fixture.port);
 	assert_int_equal(fixture.ended, 0);
 	fixture.answer = WITH_LENGTH;
 	uv_run(&fixture.loop, UV_RUN_DEFAULT);
@@ -348,6 +353,33 @@
 	end(&fixture);
 }
 
+/*
+ * Guards against an answer to the first sending of a request that is written
+ * once more, and taken for the one to its second sending.
+ */
+static void test_resent_request(void **state)
+{
+	fixture_t fixture;
+
+	begin(&fixture);
+	fixture.id = "first";
+	assert_int_equal(exchange(&fixture, WITH_LENGTH, END_OPEN),
+			 LINK_COMPLETE);
+	fixture.id = "second";
+	assert_int_equal(exchange(&fixture, WITH_LENGTH, END_OPEN),
+			 LINK_COMPLETE);
+	assert_int_equal(fixture.accepted, 1);
+	assert_int_equal(exchange(&fixture, WITH_LENGTH, END_OPEN),
+			 LINK_COMPLETE);
+	assert_int_equal(fixture.accepted, 2);
+	/* Where no further connection is allowed, another one is closed. */
+	links_set_limit(fixture.links, "desk", 1);
+	assert_int_equal(exchange(&fixture, WITH_LENGTH, END_OPEN),
+			 LINK_COMPLETE);
+	assert_int_equal(fixture.accepted, 3);
+	end(&fixture);
+}
+
 /* Cancelling an exchange closes its connection at once. */
 static void test_cancelled(void **state)
 {
@@ -356,9 +388,7 @@
 
 	begin(&fixture);
 	fixture.answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc";
-	open = links_send(fixture.links, endpoint(&fixture, fixture.port),
-			  g_string_new("GET / HTTP/1.1\r\n\r\n"), FALSE,
-			  &events, &fixture);
+	open = send_request(&fixture, fixture.port);
 	while (!fixture.body->len)
 		uv_run(&fixture.loop, UV_RUN_ONCE);
 	exchange_cancel(open);
@@ -379,6 +409,7 @@
 		cmocka_unit_test(test_rejected_head),
 		cmocka_unit_test(test_rejected_data),
 		cmocka_unit_test(test_not_sent),
+		cmocka_unit_test(test_resent_request),
 		cmocka_unit_test(test_cancelled),
 	};
 
