front/adapters: ask idle engines for reports again

Without a time that the engine names, nothing is set. Test: t0819 waits for reports of idle engines, limited and not; on the commit before: "timed out: asked_again".

--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -451,16 +451,17 @@
 		&admission_queue, &admission_queue_actions, held);
 }
 
-/* When the engine takes the next report. */
+/* When the engine takes the next report; in the past if it names no time. */
 static ms_t next_report_time(const held_engine_t *held, ms_t now)
 {
 	const fleet_endpoint_t *engine = held->endpoint;
+	ms_t wait = fleet_endpoint_limit_wait(engine, now);
 
 	if (fleet_endpoint_standing(engine, now) == STANDING_QUIET)
 		return fleet_endpoint_quiet_until(engine);
 	if (!fleet_endpoint_limit(engine))
-		return now;
-	return MAX(now + fleet_endpoint_limit_wait(engine, now),
+		return 0;
+	return MAX(wait ? now + wait : 0,
 		   held->reported_at + LIMITED_REPORT_MS);
 }
 
--- a/t/t0819-front-request-limit.sh
+++ b/t/t0819-front-request-limit.sh
@@ -60,6 +60,18 @@
 	test "$most" -gt 0 || fail "$1 got no request at all"
 }
 
+# Engines are asked for reports although nothing happens there, limited or not.
+asked_again () {
+	test "$(total reports engine-1)" -gt "$reports_1" &&
+		test "$(total reports engine-2)" -gt "$reports_2"
+}
+control engine-1 "limit=$LIMIT"
+sleep 3
+reports_1=$(total reports engine-1)
+reports_2=$(total reports engine-2)
+within_seconds 12 asked_again
+control engine-1 limit=
+
 # One endpoint of two: callers are served by the other.
 control desk-1 "limit=$LIMIT"
 load read_desk >"$work/desk.out"
