front/adapters: read what engines say of themselves in answers to orders and reports

What was seen: an engine that gets no request told nobody that it named a request limit, that it wants quiet or that it is leaving, though its holder called it all along; and nobody learned that a limit was over, but by sending a request.

Cause: only answers to callers' requests were read for it; the buffered calls of http_client hand over no headers.

Test: t0819, an engine without requests; on the commit before: "timed out waiting for: told".

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -19,6 +19,7 @@
 #include "hold/admission_queue.h"
 #include "hold/relay.h"
 #include "kv/kv.h"
+#include "platform/headers.h"
 #include "route/fleet.h"
 #include "route/route_table.h"
 #include "serve/process.h"
@@ -114,6 +115,9 @@
 			   const store_updates_t *updates);
 	/* Another instance has learned something about parts of prompts. */
 	void (*on_parts)(void *ctx, const parts_message_t *message);
+	/* An engine said something about itself in an answer to a call. */
+	void (*on_notice)(void *ctx, fleet_endpoint_t *engine,
+			  const endpoint_notice_t *notice, ms_t sent_at);
 	/* Another instance has heard something from an endpoint. */
 	void (*on_endpoint_news)(void *ctx, const endpoint_message_t *message);
 	/* This instance has connected to another. */
--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -65,6 +65,31 @@
 		 NULL);
 }
 
+/*
+ * Passed on once the call has ended: requests may move to other engines then.
+ */
+static void note_answer(held_engine_t *held, const endpoint_notice_t *notice,
+			ms_t sent_at, const GError *error)
+{
+	adapters_t *adapters = held->adapters;
+
+	if (!error)
+		adapters->events.on_notice(adapters->ctx, held->endpoint,
+					   notice, sent_at);
+}
+
+static void on_order_head(void *ctx, int status, const http_header_t *headers)
+{
+	headers_read_notice(status, headers,
+			    &((held_engine_t *)ctx)->order_notice);
+}
+
+static void on_report_head(void *ctx, int status, const http_header_t *headers)
+{
+	headers_read_notice(status, headers,
+			    &((held_engine_t *)ctx)->report_notice);
+}
+
 static void on_order_answer(void *ctx, int status, const char *body,
 			    size_t size, const GError *error)
 {
@@ -85,6 +110,7 @@
 			 "error", error ? error->message : "", NULL);
 	g_free(text);
 	adapter_cache_handle_answer(held->cache, now, answer);
+	note_answer(held, &held->order_notice, held->ordered_at, error);
 	advance_admissions(held, now);
 }
 
@@ -116,6 +142,7 @@
 	body = engine_render_order(order, model_of(held), instance, fence);
 	request.body = body;
 	request.body_size = strlen(body);
+	request.on_head = on_order_head;
 	held->ordered_at = adapters->now;
 	counter_add(adapters->orders, 1);
 	held->order =
@@ -141,6 +168,7 @@
 
 	held->report = NULL;
 	note_reachability(held, now_of(adapters), error);
+	note_answer(held, &held->report_notice, held->reported_at, error);
 	if (error || status != 200) {
 		adapter_cache_handle_report(held->cache, now_of(adapters),
 					    NULL);
@@ -172,6 +200,7 @@
 		.method = "GET",
 		.path = engine_report_path(),
 		.timeout = ORDER_TIMEOUT_MS,
+		.on_head = on_report_head,
 	};
 
 	counter_add(adapters->reports, 1);
--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -72,6 +72,8 @@
 	patience_t patience; /* of requests that wait for an adapter */
 	http_call_t *order;  /* call in progress, or NULL */
 	http_call_t *report;
+	endpoint_notice_t order_notice;	 /* of the newest answer */
+	endpoint_notice_t report_notice; /* likewise */
 	ms_t ordered_at;
 	ms_t reported_at;
 	gboolean is_down; /* this instance can't connect to it */
--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -27,8 +27,8 @@
 	if (forward->attempt.answer.has_load)
 		fleet_endpoint_note_load(forward->endpoint,
 					 forward_now(forward), load);
-	front_note_answer_head(forward->front, forward->endpoint,
-			       &forward->attempt.answer, forward->sent_at);
+	front_on_notice(forward->front, forward->endpoint,
+			&forward->attempt.answer.notice, forward->sent_at);
 	exchange_set_idle(forward->attempt.exchange,
 			  forward->attempt.answer.idle_timeout);
 	/* The endpoint may send the answer to another request. */
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -365,6 +365,7 @@
 		.on_adapter_unloaded = on_adapter_unloaded,
 		.on_updates = front_on_updates,
 		.on_parts = front_on_parts,
+		.on_notice = front_on_notice,
 		.on_endpoint_news = front_on_endpoint_news,
 		.on_peer = front_on_peer,
 		.on_instance = front_on_instance,
--- a/lib/front/front_endpoints.c
+++ b/lib/front/front_endpoints.c
@@ -60,15 +60,15 @@
 
 /* An endpoint in need names a limit in all answers, for as long as it holds. */
 static void note_own_limit(front_t *front, fleet_endpoint_t *endpoint,
-			   const response_fields_t *answer, ms_t sent_at)
+			   const endpoint_notice_t *notice, ms_t sent_at)
 {
 	request_limit_t *limit = fleet_endpoint_limit(endpoint);
 
-	if (answer->names_limit && answer->limit == LIMIT_UNREADABLE) {
+	if (notice->names_limit && notice->limit == LIMIT_UNREADABLE) {
 		log_warn("request limit unreadable", "endpoint",
 			 fleet_endpoint_id(endpoint), NULL);
-	} else if (answer->names_limit) {
-		note_limit(front, endpoint, answer->limit, TRUE, "answer");
+	} else if (notice->names_limit) {
+		note_limit(front, endpoint, notice->limit, TRUE, "answer");
 		limit = fleet_endpoint_limit(endpoint);
 		if (request_limit_announce(limit, ms_clock_now(front->clock)))
 			announce(front, NULL, endpoint, ENDPOINT_LIMITED);
@@ -81,27 +81,27 @@
 
 /* An endpoint that leaves or wants quiet says so in any answer. */
 static void note_standing(front_t *front, fleet_endpoint_t *endpoint,
-			  const response_fields_t *answer)
+			  const endpoint_notice_t *notice)
 {
 	ms_t now = ms_clock_now(front->clock);
 	standing_t before = fleet_endpoint_standing(endpoint, now);
 	standing_t after;
 	char *quiet;
 
-	if (answer->is_leaving && before != STANDING_LEAVING) {
+	if (notice->is_leaving && before != STANDING_LEAVING) {
 		log_info("endpoint says it is leaving", "endpoint",
 			 fleet_endpoint_id(endpoint), NULL);
 		counter_add(front->leaving, 1);
 		fleet_endpoint_note_leaving(front->fleet, endpoint);
 	}
-	if (answer->quiet) {
+	if (notice->quiet) {
 		quiet = g_strdup_printf("%" G_GINT64_FORMAT,
-					(gint64)answer->quiet);
+					(gint64)notice->quiet);
 		log_info("endpoint asks for quiet", "endpoint",
 			 fleet_endpoint_id(endpoint), "ms", quiet, NULL);
 		g_free(quiet);
 		counter_add(front->quiet, 1);
-		fleet_endpoint_note_quiet(endpoint, now, answer->quiet);
+		fleet_endpoint_note_quiet(endpoint, now, notice->quiet);
 	}
 	after = fleet_endpoint_standing(endpoint, now);
 	/* What waits for it moves on at once. */
@@ -110,11 +110,11 @@
 		forward_on_endpoint_gone(front, fleet_endpoint_id(endpoint));
 }
 
-void front_note_answer_head(front_t *front, fleet_endpoint_t *endpoint,
-			    const response_fields_t *answer, ms_t sent_at)
+void front_on_notice(void *ctx, fleet_endpoint_t *endpoint,
+		     const endpoint_notice_t *notice, ms_t sent_at)
 {
-	note_standing(front, endpoint, answer);
-	note_own_limit(front, endpoint, answer, sent_at);
+	note_standing(ctx, endpoint, notice);
+	note_own_limit(ctx, endpoint, notice, sent_at);
 }
 
 void front_on_endpoint_news(void *ctx, const endpoint_message_t *message)
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -172,9 +172,9 @@
  * what the other instances have heard.
  */
 
-/* The endpoint's answer to a request sent at sent_at has begun. */
-void front_note_answer_head(front_t *front, fleet_endpoint_t *endpoint,
-			    const response_fields_t *answer, ms_t sent_at);
+/* In an answer to a request, order or report sent at sent_at. */
+void front_on_notice(void *ctx, fleet_endpoint_t *endpoint,
+		     const endpoint_notice_t *notice, ms_t sent_at);
 void front_on_endpoint_news(void *ctx, const endpoint_message_t *message);
 /* Tells an instance of the request limits that are known here. */
 void front_tell_limits(front_t *front, const char *instance);
--- a/t/t0819-front-request-limit.sh
+++ b/t/t0819-front-request-limit.sh
@@ -80,6 +80,20 @@
 200
 END
 
+# An engine that gets no request tells its holder in a report, and the holder the others.
+control engine-2 "limit=$LIMIT"
+told () {
+	test "$(grep -l '"event":"endpoint names a request limit","endpoint":"engine-2-1"' \
+		"$work"/front[123].out | wc -l)" = 3
+}
+wait_for told
+control engine-2 limit=
+over () {
+	test "$(grep -l '"event":"endpoint names no request limit any more","endpoint":"engine-2-1"' \
+		"$work"/front[123].out | wc -l)" = 3
+}
+wait_for over
+
 # An engine: the orders and reports of its holder count as well.
 control engine-1 "limit=$LIMIT"
 load stream >"$work/stream.out"
--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -506,8 +506,8 @@
 
 		read_message(&message, HTTP1_RESPONSES, text);
 		headers_read_response(message.head, &fields);
-		assert_int_equal(fields.quiet, cases[i].quiet);
-		assert_true(fields.is_leaving);
+		assert_int_equal(fields.notice.quiet, cases[i].quiet);
+		assert_true(fields.notice.is_leaving);
 		http1_reader_destroy(message.reader);
 		g_free(text);
 	}
@@ -516,8 +516,8 @@
 		     "HTTP/1.1 429 X\r\nRetry-After: 3\r\n"
 		     "Server-Leaving: 0\r\nContent-Length: 0\r\n\r\n");
 	headers_read_response(message.head, &fields);
-	assert_int_equal(fields.quiet, 0);
-	assert_false(fields.is_leaving);
+	assert_int_equal(fields.notice.quiet, 0);
+	assert_false(fields.notice.is_leaving);
 	http1_reader_destroy(message.reader);
 }
 
@@ -551,8 +551,9 @@
 
 		read_message(&message, HTTP1_RESPONSES, text);
 		headers_read_response(message.head, &fields);
-		assert_int_equal(fields.names_limit, cases[i].names_limit);
-		assert_float_equal(fields.limit, cases[i].limit, 0);
+		assert_int_equal(fields.notice.names_limit,
+				 cases[i].names_limit);
+		assert_float_equal(fields.notice.limit, cases[i].limit, 0);
 		http1_reader_destroy(message.reader);
 		g_free(text);
 	}
