front: tell the other instances of endpoints that say that they are leaving

What callers saw: requests that had to be sent once more, by each instance that learned by itself that an endpoint was leaving; some endpoints say so in their answers and never in the platform's list.

The first instance that is told tells the others, and those that connect to it later. They take it as a hint: the endpoint is passed over for 5 s, in which the list should show it, and then a request may find out. What waits for it moves on at once.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -77,6 +77,7 @@
 typedef enum {
 	ENDPOINT_LIMITED,   /* value: its request limit, in 1/1000 per second */
 	ENDPOINT_UNLIMITED, /* it names no limit any more; value: 0 */
+	ENDPOINT_LEAVING,   /* value: 0 */
 	ENDPOINT_NEWS_COUNT
 } endpoint_news_t;
 
--- a/lib/front/front_endpoints.c
+++ b/lib/front/front_endpoints.c
@@ -1,6 +1,10 @@
 #include "base/log.h"
 #include "front/front_private.h"
 
+/* In logs: who has heard what an endpoint says. */
+static const char own_answer[] = "answer";
+static const char other_instance[] = "another instance";
+
 /* The number of an endpoint's limit in messages is in thousandths. */
 #define LIMIT_SCALE 1000
 
@@ -68,13 +72,13 @@
 		log_warn("request limit unreadable", "endpoint",
 			 fleet_endpoint_id(endpoint), NULL);
 	} else if (notice->names_limit) {
-		note_limit(front, endpoint, notice->limit, TRUE, "answer");
+		note_limit(front, endpoint, notice->limit, TRUE, own_answer);
 		limit = fleet_endpoint_limit(endpoint);
 		if (request_limit_announce(limit, ms_clock_now(front->clock)))
 			announce(front, NULL, endpoint, ENDPOINT_LIMITED);
 	} else if (limit && sent_at > request_limit_confirmed_at(limit)) {
 		/* An older request's answer may have been written before. */
-		end_limit(endpoint, "answer");
+		end_limit(endpoint, own_answer);
 		announce(front, NULL, endpoint, ENDPOINT_UNLIMITED);
 	}
 }
@@ -88,11 +92,12 @@
 	standing_t after;
 	char *quiet;
 
-	if (notice->is_leaving && before != STANDING_LEAVING) {
+	if (notice->is_leaving && !fleet_endpoint_has_said_leaving(endpoint)) {
 		log_info("endpoint says it is leaving", "endpoint",
-			 fleet_endpoint_id(endpoint), NULL);
+			 fleet_endpoint_id(endpoint), "why", own_answer, NULL);
 		counter_add(front->leaving, 1);
 		fleet_endpoint_note_leaving(front->fleet, endpoint);
+		announce(front, NULL, endpoint, ENDPOINT_LEAVING);
 	}
 	if (notice->quiet) {
 		quiet = g_strdup_printf("%" G_GINT64_FORMAT,
@@ -117,9 +122,18 @@
 	note_own_limit(ctx, endpoint, notice, sent_at);
 }
 
+static void note_leaving_hint(front_t *front, fleet_endpoint_t *endpoint)
+{
+	const char *id = fleet_endpoint_id(endpoint);
+
+	log_info("endpoint says it is leaving", "endpoint", id, "why",
+		 other_instance, NULL);
+	fleet_endpoint_hint_leaving(endpoint, ms_clock_now(front->clock));
+	forward_on_endpoint_gone(front, id);
+}
+
 void front_on_endpoint_news(void *ctx, const endpoint_message_t *message)
 {
-	static const char why[] = "another instance";
 	front_t *front = ctx;
 	fleet_endpoint_t *endpoint =
 		fleet_find(front->fleet, message->endpoint);
@@ -129,13 +143,22 @@
 	    fleet_endpoint_started_at(endpoint) != message->started_at)
 		return;
 	limit = fleet_endpoint_limit(endpoint);
-	if (message->news == ENDPOINT_LIMITED)
+	switch (message->news) {
+	case ENDPOINT_LIMITED:
 		note_limit(front, endpoint,
-			   (double)message->value / LIMIT_SCALE, FALSE, why);
-	else if (limit &&
-		 !request_limit_is_witnessed(limit, ms_clock_now(front->clock)))
+			   (double)message->value / LIMIT_SCALE, FALSE,
+			   other_instance);
+		break;
+	case ENDPOINT_UNLIMITED:
 		/* What this instance has seen lately may be newer. */
-		end_limit(endpoint, why);
+		if (limit && !request_limit_is_witnessed(
+				     limit, ms_clock_now(front->clock)))
+			end_limit(endpoint, other_instance);
+		break;
+	default:
+		note_leaving_hint(front, endpoint);
+		break;
+	}
 }
 
 typedef struct {
@@ -143,17 +166,21 @@
 	const char *instance;
 } receiver_t;
 
-static void tell_limit(void *ctx, fleet_endpoint_t *endpoint)
+static void tell(void *ctx, fleet_endpoint_t *endpoint)
 {
 	const receiver_t *receiver = ctx;
 
-	announce(receiver->front, receiver->instance, endpoint,
-		 ENDPOINT_LIMITED);
+	if (fleet_endpoint_has_said_leaving(endpoint))
+		announce(receiver->front, receiver->instance, endpoint,
+			 ENDPOINT_LEAVING);
+	if (fleet_endpoint_limit(endpoint))
+		announce(receiver->front, receiver->instance, endpoint,
+			 ENDPOINT_LIMITED);
 }
 
-void front_tell_limits(front_t *front, const char *instance)
+void front_tell_endpoint_news(front_t *front, const char *instance)
 {
 	receiver_t receiver = {front, instance};
 
-	fleet_foreach_limited(front->fleet, tell_limit, &receiver);
+	fleet_foreach(front->fleet, tell, &receiver);
 }
--- a/lib/front/front_parts.c
+++ b/lib/front/front_parts.c
@@ -173,5 +173,5 @@
 	/* An instance that has just started knows of none. */
 	quarantine_foreach_held(front->quarantine, ms_clock_now(front->clock),
 				send_held, &receiver);
-	front_tell_limits(front, instance);
+	front_tell_endpoint_news(front, instance);
 }
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -176,8 +176,8 @@
 void front_on_notice(void *ctx, fleet_endpoint_t *endpoint,
 		     const endpoint_notice_t *notice, ms_t sent_at);
 void front_on_endpoint_news(void *ctx, const endpoint_message_t *message);
-/* Tells an instance of the request limits that are known here. */
-void front_tell_limits(front_t *front, const char *instance);
+/* Tells an instance what endpoints have said here. */
+void front_tell_endpoint_news(front_t *front, const char *instance);
 
 /* forward.c: forwards a request from its caller to an endpoint. */
 void forward_begin(front_t *front, call_t *call);
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -27,6 +27,12 @@
 /* Key of the rendezvous hash; all instances must use the same. */
 #define LONG_ENGINE_KEY "long prompts"
 
+/*
+ * How long another instance's word that an endpoint is leaving holds: longer
+ * than the platform's list takes to show it.
+ */
+#define LEAVING_HINT_MS 5000
+
 /* A reported load is ignored after this time. */
 #define LOAD_STALE_MS 2000
 
@@ -190,6 +196,18 @@
 	return g_hash_table_lookup(fleet->endpoints, id);
 }
 
+void fleet_foreach(const fleet_t *fleet,
+		   void (*visit)(void *ctx, fleet_endpoint_t *endpoint),
+		   void *ctx)
+{
+	GHashTableIter iter;
+	gpointer endpoint;
+
+	g_hash_table_iter_init(&iter, fleet->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &endpoint))
+		visit(ctx, endpoint);
+}
+
 const char *fleet_endpoint_id(const fleet_endpoint_t *endpoint)
 {
 	return endpoint->id;
@@ -237,7 +255,7 @@
 static standing_t standing(const fleet_endpoint_t *endpoint, ms_t now,
 			   guint reserved)
 {
-	if (endpoint->has_said_leaving)
+	if (endpoint->has_said_leaving || now < endpoint->leaving_hint_until)
 		return STANDING_LEAVING;
 	if (!endpoint->is_usable)
 		return STANDING_GONE;
@@ -267,6 +285,16 @@
 	g_hash_table_add(fleet->stale_services, g_strdup(endpoint->service));
 }
 
+gboolean fleet_endpoint_has_said_leaving(const fleet_endpoint_t *endpoint)
+{
+	return endpoint->has_said_leaving;
+}
+
+void fleet_endpoint_hint_leaving(fleet_endpoint_t *endpoint, ms_t now)
+{
+	endpoint->leaving_hint_until = now + LEAVING_HINT_MS;
+}
+
 void fleet_endpoint_note_quiet(fleet_endpoint_t *endpoint, ms_t now, ms_t time)
 {
 	endpoint->quiet_until = MAX(endpoint->quiet_until, now + time);
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -106,6 +106,14 @@
 /* The endpoint says that it is leaving: for good, as this incarnation. */
 void fleet_endpoint_note_leaving(fleet_t *fleet, fleet_endpoint_t *endpoint);
 
+gboolean fleet_endpoint_has_said_leaving(const fleet_endpoint_t *endpoint);
+
+/*
+ * Another instance has heard so from the endpoint.  The endpoint is passed over
+ * for some time, in which the platform's list should show it.
+ */
+void fleet_endpoint_hint_leaving(fleet_endpoint_t *endpoint, ms_t now);
+
 /*
  * The endpoint wants nothing of this instance for this time: no request, order
  * or report.
@@ -127,9 +135,10 @@
 void fleet_endpoint_end_limit(fleet_endpoint_t *endpoint);
 /* Returns NULL if the endpoint names none. */
 request_limit_t *fleet_endpoint_limit(const fleet_endpoint_t *endpoint);
-void fleet_foreach_limited(const fleet_t *fleet,
-			   void (*visit)(void *ctx, fleet_endpoint_t *endpoint),
-			   void *ctx);
+/* Visits the listed endpoints. */
+void fleet_foreach(const fleet_t *fleet,
+		   void (*visit)(void *ctx, fleet_endpoint_t *endpoint),
+		   void *ctx);
 /* Whether this instance is the one that sends orders to the engine. */
 void fleet_endpoint_set_holder(fleet_t *fleet, fleet_endpoint_t *endpoint,
 			       ms_t now, gboolean is_holder);
--- a/lib/route/fleet_limit.c
+++ b/lib/route/fleet_limit.c
@@ -82,22 +82,6 @@
 	return endpoint->limit;
 }
 
-void fleet_foreach_limited(const fleet_t *fleet,
-			   void (*visit)(void *ctx, fleet_endpoint_t *endpoint),
-			   void *ctx)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, fleet->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		fleet_endpoint_t *endpoint = value;
-
-		if (endpoint->limit)
-			visit(ctx, endpoint);
-	}
-}
-
 void fleet_endpoint_set_holder(fleet_t *fleet, fleet_endpoint_t *endpoint,
 			       ms_t now, gboolean is_holder)
 {
--- a/lib/route/fleet_private.h
+++ b/lib/route/fleet_private.h
@@ -21,6 +21,7 @@
 	int64_t started_at;
 	gboolean is_usable;
 	gboolean has_said_leaving;
+	ms_t leaving_hint_until; /* another instance was told so */
 	ms_t quiet_until;
 	request_limit_t *limit; /* NULL for none */
 	guint reserved;		/* requests that wait to be sent */
--- a/t/t0815-front-leaving-quiet.sh
+++ b/t/t0815-front-leaving-quiet.sh
@@ -7,6 +7,7 @@
 start_models
 write_config 1
 start_front 1
+start_front 2
 
 # Twelve requests, some of them at the same time.
 many () {
@@ -39,6 +40,23 @@
 END
 test "$(runs_of desk-1)" = "$before" ||
 	fail 'a leaving endpoint got a request'
+# Nor from another instance, which has only heard of it.
+heard () {
+	grep -q '"event":"endpoint says it is leaving","endpoint":"desk-1-1","why":"another instance"' \
+		"$work/front2.out"
+}
+wait_for heard
+through_other () {
+	for n in 1 2 3 4 5 6 7 8
+	do
+		ask 2 /read/x -o /dev/null -w '%{http_code}\n'
+	done | sort | uniq -c | tr -s ' '
+}
+expect 'the other instance serves them' through_other <<\END
+ 8 200
+END
+test "$(runs_of desk-1)" = "$before" ||
+	fail 'a leaving endpoint got a request from another instance'
 # The store still lists it as ready.
 control desk-1 state=ready
 sleep 1
--- a/t/unit/test-route.c
+++ b/t/unit/test-route.c
@@ -551,6 +551,11 @@
 	/* The next incarnation under the same id. */
 	first = add_endpoint(fleet, "e1", 2);
 	assert_int_equal(fleet_endpoint_standing(first, 4000), STANDING_OPEN);
+	/* What only another instance has heard holds for a time. */
+	fleet_endpoint_hint_leaving(first, 4000);
+	assert_int_equal(fleet_endpoint_standing(first, 8999),
+			 STANDING_LEAVING);
+	assert_int_equal(fleet_endpoint_standing(first, 9000), STANDING_OPEN);
 	fleet_destroy(fleet);
 }
 
