--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -492,7 +492,14 @@
 		{"3 s", 0},
 		{"1e400", 3600000},
 		{"99999999999", 3600000},
+		/* The answer says that it is 22:00:00. */
+		{"Fri, 04 Dec 2026 22:00:30 GMT", 30000},
 		{"Fri, 04 Dec 2026 22:00:00 GMT", 0},
+		{"Fri, 04 Dec 2026 21:00:00 GMT", 0},
+		{"Sun, 04 Dec 2044 22:00:00 GMT", 3600000},
+		{"Fri, 31 Feb 2026 22:00:00 GMT", 0},
+		{"Fri, 04 Foo 2026 22:00:00 GMT", 0},
+		{"3\r\nRetry-After: 5", 3000},
 	};
 	response_fields_t fields;
 	message_t message;
@@ -500,7 +507,9 @@
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		char *text = g_strdup_printf(
-			"HTTP/1.1 503 X\r\nRetry-After: %s\r\n"
+			"HTTP/1.1 503 X\r\n"
+			"Date: Fri, 04 Dec 2026 22:00:00 GMT\r\n"
+			"Retry-After: %s\r\n"
 			"Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
 			cases[i].value);
 
