route/fleet: send one request when a time of quiet ends

What an endpoint saw that had asked for a time without requests: as many at once as each instance had waiting, when the time was over.

Nothing remembered that the endpoint had not answered since. The first request after the time is sent alone; others follow once it is answered without asking for quiet again, or after a second without an answer. Meanwhile the endpoint counts as one that wants quiet.

Test: test-route; on the commit before the second request was sent at the same moment.

--- a/lib/front/front_endpoints.c
+++ b/lib/front/front_endpoints.c
@@ -107,6 +107,8 @@
 		g_free(quiet);
 		counter_add(front->quiet, 1);
 		fleet_endpoint_note_quiet(endpoint, now, notice->quiet);
+	} else {
+		fleet_endpoint_note_answer(endpoint, now);
 	}
 	after = fleet_endpoint_standing(endpoint, now);
 	/* What waits for it moves on at once. */
--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -33,6 +33,10 @@
  */
 #define LEAVING_HINT_MS 5000
 
+/* Another request is sent if the first one after a time of quiet got no answer.
+ */
+#define PROBE_TIMEOUT_MS 1000
+
 /* A reported load is ignored after this time. */
 #define LOAD_STALE_MS 2000
 
@@ -259,7 +263,9 @@
 		return STANDING_LEAVING;
 	if (!endpoint->is_usable)
 		return STANDING_GONE;
-	if (now < endpoint->quiet_until)
+	if (now < endpoint->quiet_until ||
+	    (endpoint->is_probe_due &&
+	     (now < endpoint->probe_until || reserved)))
 		return STANDING_QUIET;
 	if (endpoint->limit &&
 	    request_limit_wait(endpoint->limit, now, reserved))
@@ -298,6 +304,14 @@
 void fleet_endpoint_note_quiet(fleet_endpoint_t *endpoint, ms_t now, ms_t time)
 {
 	endpoint->quiet_until = MAX(endpoint->quiet_until, now + time);
+	endpoint->is_probe_due = TRUE;
+	endpoint->probe_until = endpoint->quiet_until;
+}
+
+void fleet_endpoint_note_answer(fleet_endpoint_t *endpoint, ms_t now)
+{
+	if (now >= endpoint->quiet_until)
+		endpoint->is_probe_due = FALSE;
 }
 
 ms_t fleet_endpoint_quiet_until(const fleet_endpoint_t *endpoint)
@@ -327,6 +341,7 @@
 void fleet_endpoint_begin(fleet_endpoint_t *endpoint, ms_t now)
 {
 	endpoint->in_flight++;
+	endpoint->probe_until = now + PROBE_TIMEOUT_MS;
 	fleet_endpoint_count_call(endpoint, now);
 }
 
--- a/lib/route/fleet.h
+++ b/lib/route/fleet.h
@@ -116,9 +116,12 @@
 
 /*
  * The endpoint wants nothing of this instance for this time: no request, order
- * or report.
+ * or report.  The first request after it has to be answered before another one
+ * is sent.
  */
 void fleet_endpoint_note_quiet(fleet_endpoint_t *endpoint, ms_t now, ms_t time);
+/* It has answered, and not asked for quiet. */
+void fleet_endpoint_note_answer(fleet_endpoint_t *endpoint, ms_t now);
 /* Returns the end of that time; in the past if there is none. */
 ms_t fleet_endpoint_quiet_until(const fleet_endpoint_t *endpoint);
 
--- a/lib/route/fleet_limit.c
+++ b/lib/route/fleet_limit.c
@@ -4,6 +4,9 @@
 
 #include "base/hash.h"
 
+/* In this time the first request after a time of quiet has been answered. */
+#define PROBE_MS 200
+
 /* The share of this instance in the limit of an endpoint. */
 static request_share_t compute_share(const fleet_t *fleet,
 				     const fleet_endpoint_t *endpoint,
@@ -135,7 +138,7 @@
 		if (standing == STANDING_OPEN)
 			return 0;
 		if (standing == STANDING_QUIET)
-			wait = endpoint->quiet_until - now;
+			wait = MAX(endpoint->quiet_until - now, PROBE_MS);
 		else if (standing == STANDING_LIMITED)
 			wait = request_limit_promised_time(endpoint->limit,
 							   now);
--- a/lib/route/fleet_private.h
+++ b/lib/route/fleet_private.h
@@ -23,6 +23,9 @@
 	gboolean has_said_leaving;
 	ms_t leaving_hint_until; /* another instance was told so */
 	ms_t quiet_until;
+	/* The request after that time, until it is answered. */
+	gboolean is_probe_due;
+	ms_t probe_until;	/* no other one is sent before */
 	request_limit_t *limit; /* NULL for none */
 	guint reserved;		/* requests that wait to be sent */
 	gboolean is_holder;	/* this instance is its holder */
