t0805: a store that comes back older, and request limits

The soak lets the store keep a copy and come back from it, refusing calls or not; the endpoints list themselves again and the operator writes the configuration again. Endpoints name a request limit for a while; that it is kept is checked by t0819 only, as instances that start anew have not been told. Faults of earlier seeds come in the same order as before.

--- a/t/t0805-front-soak.sh
+++ b/t/t0805-front-soak.sh
@@ -4,8 +4,9 @@
 #	SEED=7 SOAK_SECONDS=60 sh t/t0805-front-soak.sh
 #
 # Instances are killed, frozen, stopped and started; endpoints fail, refuse, also with
-# a time of quiet, cut their answers, restart, leave and say so in answers; the store is unreachable or silent, drops its
-# history and loses answers; orders are late; the configuration changes.  Links of
+# a time of quiet, name request limits, cut their answers, restart, leave and say so in
+# answers; the store is unreachable or silent, drops its history, loses answers and comes
+# back from an older copy; orders are late; the configuration changes.  Links of
 # an instance to the store, to each endpoint and from its peers are delayed, muted,
 # cut in one direction, reset and silenced for good, and answers on them break off or
 # stall after some bytes.  Faults overlap.  Clients send requests throughout, some of
@@ -76,6 +77,15 @@
 	random_state=$other_state
 }
 
+history_state=$SEED
+history_random () {
+	other_state=$random_state
+	random_state=$history_state
+	random "$1"
+	history_state=$random_state
+	random_state=$other_state
+}
+
 start_models --events 12 --event-ms 15
 start_links
 write_config 1
@@ -283,6 +293,19 @@
 	case $random_value in
 	0) control "$1" leaving=1 && leaving="$leaving $1" ;;
 	1|2) control "$1" "mode=full&quiet=$random_value" ;;
+	3) control "$1" limit=3 ;;
+	4) control "$1" limit= ;;
+	esac
+}
+# The store comes back as it was some seconds ago; the operator and the endpoints write
+# again what it has lost.
+history_event () {
+	history_random 12
+	echo "$(date +%s) history event $random_value" >>"$work/events"
+	case $random_value in
+	0|1|2) control store save=1 ;;
+	3) control store 'mode=refuse&restore=listed' ;;
+	4) control store restore=listed && write_config "$version" ;;
 	esac
 }
 # An endpoint that leaves is replaced by another incarnation.
@@ -324,6 +347,7 @@
 	link_event
 	peer_event
 	standing_event
+	history_event
 	sleep 0.3
 	mend
 	pick_link
@@ -337,6 +361,7 @@
 
 # End all faults; then all requests have to be served again.
 control store mode=up
+write_config "$version"
 mend_standing
 for link in store1 store2 store3 peer1 peer2 peer3 $endpoints
 do
@@ -344,7 +369,7 @@
 done
 for endpoint in $endpoints
 do
-	control "$endpoint" 'mode=ok&quiet=0'
+	control "$endpoint" 'mode=ok&quiet=0&limit='
 	control "$endpoint" state=ready
 done
 for name in $frozen front1 front2 front3
