--- a/t/t0805-front-soak.sh
+++ b/t/t0805-front-soak.sh
@@ -300,6 +300,13 @@
 	4) control "$1" limit= ;;
 	esac
 }
+# Revisions that the store will give out again.
+write_notes () {
+	for note in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20
+	do
+		echo "$version" | put_item "op/note/$note"
+	done
+}
 # The store comes back as it was some seconds ago; the operator and the endpoints write
 # again what it has lost.
 history_event () {
@@ -307,8 +314,8 @@
 	echo "$(date +%s) history event $random_value" >>"$work/events"
 	case $random_value in
 	0|1|2) control store save=1 ;;
-	3) control store 'mode=refuse&restore=listed' ;;
-	4) control store restore=listed && write_config "$version" ;;
+	3) write_notes && control store 'mode=refuse&restore=listed' ;;
+	4) write_notes && control store restore=listed && write_config "$version" ;;
 	esac
 }
 # An endpoint that leaves is replaced by another incarnation.
@@ -364,7 +371,7 @@
 done
 
 # End all faults; then all requests have to be served again.
-control store 'mode=up&restore=listed'
+control store mode=up
 write_config "$version"
 mend_standing
 for link in store1 store2 store3 peer1 peer2 peer3 $endpoints
@@ -390,6 +397,10 @@
 within_seconds "$RECOVERY_SECONDS" all_run
 within_seconds "$RECOVERY_SECONDS" served
 # Whatever the store has forgotten, a change is in force in time.
+control store save=1
+write_notes
+sleep 1
+control store restore=listed
 write_config "$((version + 1))" "$default_routes
 last /last/ idempotent desk 1000 2"
 last_in_force () {
