--- a/lib/front/adapters_private.h
+++ b/lib/front/adapters_private.h
@@ -141,6 +141,21 @@
 			  int64_t version);
 /* The connection of a requester was closed. */
 void held_engine_drop_requester(held_engine_t *held, conn_t *requester);
+/*
+ * Submits the admissions whose adapter is resident to the queue, and refuses
+ * those that can't be served.
+ */
+void held_engine_advance(held_engine_t *held, ms_t now);
+
+/*
+ * adapters_calls.c: orders to an engine held by this instance, and its reports.
+ * ctx is the held_engine_t.
+ */
+void held_engine_send_order(void *ctx, const cache_order_t *order);
+void held_engine_ask_report(void *ctx);
+/* When the engine takes the next report; in the past if it names no time. */
+ms_t held_engine_next_report(const held_engine_t *held, ms_t now);
+void held_engine_cancel_calls(held_engine_t *held);
 
 /* adapters_peers.c: messages to and from the other instances. */
 void adapters_peers_start(adapters_t *adapters, GBytes *key);
