platform/metadata_store: keep what was read before the store's history is stated

Found by reading the diff: an answer without the number, as of something between, counted as history 0, and the next one that states it as another history: all items would have been read again and no order sent for five seconds; broadcasts would have covered a range that they don't carry, and locks read before would have been doubted for good.

The number is known once an answer states it, and what was read before stands. Tests: test-engine-locks and test-relay read a record and all items before the number; both fail on the commit before.

--- a/lib/front/front_items.c
+++ b/lib/front/front_items.c
@@ -344,10 +344,12 @@
 {
 	front_t *front = ctx;
 
-	relay_begin_history(front->relay, history);
 	adapters_begin_history(front->adapters, history, is_other);
-	if (!is_other)
+	if (!is_other) {
+		relay_set_history(front->relay, history);
 		return;
+	}
+	relay_begin_history(front->relay, history);
 	/* Records that it has lost are written again, as after an outage. */
 	front->store_regained_at = ms_clock_now(front->clock);
 	g_array_set_size(front->updates, 0);
--- a/lib/hold/engine_locks.c
+++ b/lib/hold/engine_locks.c
@@ -160,13 +160,14 @@
 
 	engine_locks->settled_at = now + engine_locks->options.lease_ttl +
 				   engine_locks->options.order_gap;
-	if (engine_locks->is_history_known) {
-		engine_locks->no_order_before = engine_locks->settled_at;
-		/* Instances whose records are lost register anew. */
-		engine_locks->startup_ends_at = now + ENGINE_LOCKS_STARTUP_MS;
-	}
-	engine_locks->is_history_known = TRUE;
 	engine_locks->history = history;
+	if (!engine_locks->is_history_known) {
+		engine_locks->is_history_known = TRUE;
+		return;
+	}
+	engine_locks->no_order_before = engine_locks->settled_at;
+	/* Instances whose records are lost register anew. */
+	engine_locks->startup_ends_at = now + ENGINE_LOCKS_STARTUP_MS;
 	g_hash_table_iter_init(&iter, engine_locks->engines);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		engine_t *engine = value;
--- a/lib/hold/relay.c
+++ b/lib/hold/relay.c
@@ -71,9 +71,14 @@
 	g_hash_table_remove(relay->senders, instance);
 }
 
-void relay_begin_history(relay_t *relay, int64_t history)
+void relay_set_history(relay_t *relay, int64_t history)
 {
 	relay->history = history;
+}
+
+void relay_begin_history(relay_t *relay, int64_t history)
+{
+	relay_set_history(relay, history);
 	relay->known_revision = 0;
 	relay->sent_up_to = 0;
 	relay->polled_as_of = RELAY_AGE_UNKNOWN;
--- a/lib/hold/relay.h
+++ b/lib/hold/relay.h
@@ -119,7 +119,9 @@
 void relay_set_instance(relay_t *relay, const char *instance,
 			gboolean is_alive);
 
-/* The service has this history from now on: nothing of it is known yet. */
+/* The number of the service's history, as it is stated for the first time. */
+void relay_set_history(relay_t *relay, int64_t history);
+/* The service has another history: nothing of it is known yet. */
 void relay_begin_history(relay_t *relay, int64_t history);
 
 /* Whether this instance is a poller. */
--- a/t/unit/test-engine-locks.c
+++ b/t/unit/test-engine-locks.c
@@ -192,12 +192,13 @@
 static void create_holder(process_t *process)
 {
 	process_create(process, "one");
-	engine_locks_begin_history(process->engine_locks, 0, 0, HISTORY);
 	engine_locks_set_lease(process->engine_locks, 0, 11);
 	engine_locks_set_instance(process->engine_locks, 0, "one", 11);
 	engine_locks_set_instance(process->engine_locks, 0, "two", 12);
 	engine_locks_set_engine(process->engine_locks, 0, "e", TRUE);
 	set_record_of(process, 0, "one", 11, 50, HISTORY);
+	/* What was read before the number was stated stays known. */
+	engine_locks_begin_history(process->engine_locks, 0, 0, HISTORY);
 }
 
 static void begin_next_history(process_t *process, ms_t now, ms_t valid_until)
--- a/t/unit/test-relay.c
+++ b/t/unit/test-relay.c
@@ -246,8 +246,9 @@
 	relay_range_t former = {30, 30, now + CLOCK_AHEAD_MS, 1};
 	relay_range_t later = {20, 20, now + CLOCK_AHEAD_MS, 2};
 
-	relay_begin_history(relay, 1);
 	relay_note_full_read(relay, 30);
+	/* What was read before the number was stated stays known. */
+	relay_set_history(relay, 1);
 	assert_true(relay_receive_broadcast(relay, now, "poller", &former));
 	assert_true(relay_skip_time(relay, now, now) > 0);
 	/* One that knows the later history already: this instance has to poll.
