--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -12,6 +12,7 @@
 #include "platform/decode.h"
 #include "platform/engine.h"
 #include "platform/headers.h"
+#include "platform/metadata_store_private.h"
 #include "platform/metadata_store_json.h"
 
 static const char config[] =
@@ -568,6 +569,30 @@
 	}
 }
 
+static void test_history_numbers(void **state)
+{
+	static const struct {
+		const char *value;
+		int64_t history;
+	} cases[] = {
+		{"1", 1},   {"4194304", 4194304},
+		{"0", 0},   {"4194305", 0},
+		{"-3", 0},  {"99999999999999999999", 0},
+		{"two", 0}, {"2 2", 0},
+		{"", 0},
+	};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		http_header_t headers[] = {{"content-type", "text/plain"},
+					   {"store-era", cases[i].value},
+					   {NULL, NULL}};
+
+		assert_int_equal(store_read_history(headers), cases[i].history);
+		assert_int_equal(store_read_history(headers + 2), 0);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -576,6 +601,7 @@
 		cmocka_unit_test(test_shared_parts),
 		cmocka_unit_test(test_retry_after),
 		cmocka_unit_test(test_request_limit),
+		cmocka_unit_test(test_history_numbers),
 		cmocka_unit_test(test_endpoint),
 		cmocka_unit_test(test_bad_endpoint),
 		cmocka_unit_test(test_deep_endpoint),
