route/fleet: give a plain endpoint's whole limit to its senders

Found by reading the diff: room was left for a holder at plain endpoints, too, since their list of models is empty and not missing; the instance that came last got no share, and callers there were refused while the endpoint had room.

The endpoint's kind is kept as the platform lists it. Test: test-route; on the commit before the second instance's share stays empty.

--- a/lib/route/fleet.c
+++ b/lib/route/fleet.c
@@ -176,6 +176,7 @@
 	endpoint->is_usable = !info->is_leaving && !endpoint->has_said_leaving;
 	g_strfreev(endpoint->models);
 	endpoint->models = g_strdupv((char **)info->models);
+	endpoint->is_engine = info->is_engine;
 	endpoint->places = MAX(info->places, 1);
 	/* Most updates are heartbeats, which change nothing. */
 	if (is_long_candidate(endpoint) != was_candidate)
--- a/lib/route/fleet_limit.c
+++ b/lib/route/fleet_limit.c
@@ -5,7 +5,7 @@
 #include "base/hash.h"
 
 /* In this time the first request after a time of quiet has been answered. */
-#define PROBE_MS 200
+#define PROBE_ANSWER_MS 200
 
 /* The share of this instance in the limit of an endpoint. */
 static request_share_t compute_share(const fleet_t *fleet,
@@ -15,7 +15,7 @@
 	request_share_t share = {
 		.per_s = per_s,
 		.instances = g_hash_table_size(fleet->instances) + 1,
-		.is_engine = endpoint->models != NULL,
+		.is_engine = endpoint->is_engine,
 		.is_holder = endpoint->is_holder,
 	};
 	uint64_t own = hash_rendezvous(endpoint->id, fleet->instance);
@@ -138,7 +138,8 @@
 		if (standing == STANDING_OPEN)
 			return 0;
 		if (standing == STANDING_QUIET)
-			wait = MAX(endpoint->quiet_until - now, PROBE_MS);
+			wait = MAX(endpoint->quiet_until - now,
+				   PROBE_ANSWER_MS);
 		else if (standing == STANDING_LIMITED)
 			wait = request_limit_promised_time(endpoint->limit,
 							   now);
--- a/lib/route/fleet_private.h
+++ b/lib/route/fleet_private.h
@@ -29,7 +29,8 @@
 	request_limit_t *limit; /* NULL for none */
 	guint reserved;		/* requests that wait to be sent */
 	gboolean is_holder;	/* this instance is its holder */
-	char **models;		/* NULL-terminated */
+	gboolean is_engine;
+	char **models; /* NULL-terminated */
 	int places;
 	gboolean is_long_engine; /* reserved for long prompts */
 	GHashTable *adapters;	 /* name to version */
--- a/t/unit/test-route.c
+++ b/t/unit/test-route.c
@@ -574,6 +574,38 @@
 	fleet_destroy(fleet);
 }
 
+/*
+ * Guards against a part of a plain endpoint's limit that nobody uses: it has no
+ * holder, for which the limit of an engine has room.
+ */
+static void test_request_limit_of_plain_endpoint(void **state)
+{
+	static const char *const names[] = {"front-1", "front-2"};
+	char *none[] = {NULL};
+	endpoint_info_t info = {.id = "e",
+				.service = "desk",
+				.address = "10.0.0.1",
+				.port = 80,
+				.failure_domain = "a",
+				.places = 1,
+				.models = none};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		fleet_t *fleet = fleet_create(names[i], "a");
+		fleet_endpoint_t *endpoint =
+			fleet_update_endpoint(fleet, &info);
+
+		fleet_set_instance(fleet, 0, names[1 - i], TRUE);
+		fleet_endpoint_note_limit(fleet, endpoint, 0, 2, TRUE);
+		assert_int_equal(fleet_endpoint_standing(endpoint, 900),
+				 STANDING_LIMITED);
+		assert_int_equal(fleet_endpoint_standing(endpoint, 1100),
+				 STANDING_OPEN);
+		fleet_destroy(fleet);
+	}
+}
+
 /* One of two endpoints is limited, then both are. */
 static void test_request_limit(void **state)
 {
@@ -629,6 +661,7 @@
 		cmocka_unit_test(test_least_loaded),
 		cmocka_unit_test(test_leaving_and_quiet),
 		cmocka_unit_test(test_request_limit),
+		cmocka_unit_test(test_request_limit_of_plain_endpoint),
 		cmocka_unit_test(test_failing_is_ejected),
 		cmocka_unit_test(test_new_incarnation),
 		cmocka_unit_test(test_adapter_affinity),
