test-link: free all peers that are still open at the end

The test of resent requests is the first that has two connections open at once, and the fixture freed the newest peer only. No check changed.

--- a/t/unit/test-link.c
+++ b/t/unit/test-link.c
@@ -185,17 +185,15 @@
 	return fixture->result;
 }
 
+/* The peers of connections that are still open are freed, too. */
 static void close_handle(uv_handle_t *handle, void *ctx)
 {
-	uv_close_cb closed =
-		handle->type == UV_TCP && handle->data &&
-				handle ==
-					(uv_handle_t *)((fixture_t *)ctx)->peer
-			? on_peer_closed
-			: NULL;
+	fixture_t *fixture = ctx;
+	gboolean is_peer = handle->type == UV_TCP && handle->data == fixture &&
+			   handle != (uv_handle_t *)&fixture->listener;
 
 	if (!uv_is_closing(handle))
-		uv_close(handle, closed);
+		uv_close(handle, is_peer ? on_peer_closed : NULL);
 }
 
 static void end(fixture_t *fixture)
