--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -63,7 +63,7 @@
 	$3 == "runs" { begun[$4] = 1 }
 	$3 == "closed" && kept[$4] && begun[$4] { lost++ }
 	END { print lost + 0 }' "$record")
-answered=$(grep -c ' answered .* 200$' "$record")
+answered=$(grep -c ' answered [^ ]* 200 ' "$record")
 record "ends of instances by themselves: $ends; lost on kept connections: $lost; answered: $answered"
 echo "ends by themselves: $ends, lost: $lost, answered: $answered"
 test "$answered" -gt 0 || finish 2
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -61,7 +61,7 @@
 lost=$(awk '$3 == "runs" { runs[$4] = 1 } $3 == "ran" { delete runs[$4] }
 	$3 == "answered" && runs[$4] { print $4, $5 } $3 == "closed" && runs[$4] { print $4, "closed" }' \
 	"$record" | grep -c .)
-answered=$(grep -c ' answered .* 200$' "$record")
+answered=$(grep -c ' answered [^ ]* 200 ' "$record")
 while read -r server id after sent
 do
 	record "late: $id was sent $sent ms and reached $server $after ms after the acknowledgement"
--- a/review/lib/rv-client.c
+++ b/review/lib/rv-client.c
@@ -64,7 +64,10 @@
 				 : rv_read(fd, answer, 3000);
 		pthread_mutex_lock(&lock);
 		if (result == 1)
-			rv_note(name, "answered %s %.3s", id, answer->head + 9);
+			rv_note(name, "answered %s %.3s %zu %.*s", id,
+				answer->head + 9, answer->body_size,
+				(int)strcspn(answer->body, "\n"),
+				answer->body);
 		else
 			rv_note(name, "%s %s",
 				result == -2 ? "unanswered" : "closed", id);
