--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,7 @@
 . "$(dirname "$0")/../lib/common.sh"
 
 position=${POSITION:-2}
-parts_count=3
+parts_count=${PARTS:-3}
 begin
 start_store
 for id in desk-1-1 desk-2-1 engine-1-1 engine-2-1
