--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
 # One part of a prompt crashes each model server that begins to write an answer
 # on it; the server is back 2 s later under the id that it had.  Two servers,
-# two instances, prompts of four parts of one adapter.  Exits with 1 if more than three requests with it reach servers later than
-# stableMs after the fifth crash; see claim.txt.
+# two instances, prompts of four parts of one adapter.  Exits with 1 if more
+# than three requests with the part reach servers later than stableMs after the
+# fifth crash; see claim.txt.  PARTS, POSITION and ENGINES vary it.
 . "$(dirname "$0")/../lib/common.sh"
 
 position=${POSITION:-2}
