front/link: survive a connect() that fails at once

Cause: uv_tcp_connect() reports ENETUNREACH, EADDRNOTAVAIL and EMFILE at once. link_open() then closed the new connection, which freed its pool if there was no other connection in it, and links_send() released the freed pool again. That fields of the entry are missing has no part in it: a complete entry at that address does the same.

A connection is counted in its pool once connecting has begun, so only links_send() releases a pool without one. The error is logged.

test-link test_unreachable_address: SIGSEGV before, passes now.

--- a/lib/front/link.c
+++ b/lib/front/link.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include "base/counter.h"
+#include "base/log.h"
 
 /* Size of one read. */
 #define READ_SIZE (16 * 1024)
@@ -113,6 +114,14 @@
 	g_free(link);
 }
 
+static void link_close_handles(link_t *link)
+{
+	link->state = LINK_CLOSING;
+	uv_close((uv_handle_t *)&link->tcp, on_handle_closed);
+	uv_close((uv_handle_t *)&link->timer, on_handle_closed);
+}
+
+/* May free the pool. */
 static void link_close(link_t *link)
 {
 	pool_t *pool = link->pool;
@@ -121,12 +130,10 @@
 		return;
 	if (link->state == LINK_IDLE)
 		TAILQ_REMOVE(&pool->idle, link, entry);
-	link->state = LINK_CLOSING;
+	link_close_handles(link);
 	pool->count--;
 	pool->links->count--;
 	pool_release(pool);
-	uv_close((uv_handle_t *)&link->tcp, on_handle_closed);
-	uv_close((uv_handle_t *)&link->timer, on_handle_closed);
 }
 
 static void exchange_free(exchange_t *exchange)
@@ -423,17 +430,29 @@
 	return limit && pool->count >= limit;
 }
 
-/* Returns NULL if no connection can be made. */
+static void log_connect_failure(const fleet_endpoint_t *endpoint, int code)
+{
+	log_warn("connection to endpoint failed at once", "endpoint",
+		 fleet_endpoint_id(endpoint), "address",
+		 fleet_endpoint_address(endpoint), "error", uv_strerror(code),
+		 NULL);
+}
+
+/* Returns NULL if no connection can be made; the pool is kept in any case. */
 static link_t *link_open(pool_t *pool)
 {
 	static const http1_events_t events = {on_head, on_data, on_message_end};
 	links_t *links = pool->links;
 	struct sockaddr_in address;
 	link_t *link;
+	int code;
 
-	if (uv_ip4_addr(fleet_endpoint_address(pool->endpoint),
-			fleet_endpoint_port(pool->endpoint), &address))
+	code = uv_ip4_addr(fleet_endpoint_address(pool->endpoint),
+			   fleet_endpoint_port(pool->endpoint), &address);
+	if (code) {
+		log_connect_failure(pool->endpoint, code);
 		return NULL;
+	}
 	link = g_new0(link_t, 1);
 	link->pool = pool;
 	link->state = LINK_CONNECTING;
@@ -445,15 +464,16 @@
 	link->tcp.data = link;
 	link->timer.data = link;
 	link->connect.data = link;
+	code = uv_tcp_connect(&link->connect, &link->tcp,
+			      (const struct sockaddr *)&address, on_connected);
+	if (code) {
+		log_connect_failure(pool->endpoint, code);
+		link_close_handles(link);
+		return NULL;
+	}
 	pool->count++;
 	links->count++;
 	counter_add(links->opened, 1);
-	if (uv_tcp_connect(&link->connect, &link->tcp,
-			   (const struct sockaddr *)&address,
-			   on_connected) < 0) {
-		link_close(link);
-		return NULL;
-	}
 	uv_timer_start(&link->timer, on_connect_timeout, CONNECT_MS, 0);
 	return link;
 }
--- a/t/unit/test-conn.c
+++ b/t/unit/test-conn.c
@@ -254,6 +254,29 @@
 	net_teardown(&net);
 }
 
+/*
+ * Guards against the end of the process when connect() fails at once, as for an
+ * address without a route.
+ */
+static void test_unreachable_address(void **state)
+{
+	net_t net;
+
+	net_setup(&net);
+	net.client_closed = 0;
+	conn_connect(&net.identity, CHANNEL_KEY_CURRENT, "255.255.255.255", 80,
+		     &client_events, &net);
+	assert_int_equal(net.client_closed, 0);
+	run_until(&net, &net.client_closed, 1);
+	assert_int_equal(net.client_reason, ERROR_UNAVAILABLE);
+	/* Closed before the failure is reported. */
+	conn_close(conn_connect(&net.identity, CHANNEL_KEY_CURRENT,
+				"255.255.255.255", 80, &client_events, &net));
+	expect_echo(&net, 102);
+	assert_int_equal(net.client_closed, 1);
+	net_teardown(&net);
+}
+
 static void test_wrong_key(void **state)
 {
 	int64_t before = refused_count("unauthenticated");
@@ -471,6 +494,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_hello_and_echo),
+		cmocka_unit_test(test_unreachable_address),
 		cmocka_unit_test(test_wrong_key),
 		cmocka_unit_test(test_rotated_key),
 		cmocka_unit_test(test_unencrypted_bytes),
--- a/t/unit/test-link.c
+++ b/t/unit/test-link.c
@@ -148,11 +148,12 @@
 
 static const link_events_t events = {on_head, on_data, on_end};
 
-static fleet_endpoint_t *endpoint(fixture_t *fixture, int port)
+static fleet_endpoint_t *endpoint(fixture_t *fixture, const char *address,
+				  int port)
 {
 	endpoint_info_t info = {.id = "e",
 				.service = "desk",
-				.address = "127.0.0.1",
+				.address = address,
 				.port = port,
 				.failure_domain = "a",
 				.places = 4};
@@ -160,15 +161,21 @@
 	return fleet_update_endpoint(fixture->fleet, &info);
 }
 
-static exchange_t *send_request(fixture_t *fixture, int port)
+static exchange_t *send_request_to(fixture_t *fixture, const char *address,
+				   int port)
 {
 	links_request_t request = {
 		.text = g_string_new("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
 		.id = fixture->id,
 	};
 
-	return links_send(fixture->links, endpoint(fixture, port), &request,
-			  &events, fixture);
+	return links_send(fixture->links, endpoint(fixture, address, port),
+			  &request, &events, fixture);
+}
+
+static exchange_t *send_request(fixture_t *fixture, int port)
+{
+	return send_request_to(fixture, "127.0.0.1", port);
 }
 
 /* Sends one request; the server answers and ends as given. */
@@ -351,6 +358,37 @@
 	end(&fixture);
 }
 
+/*
+ * Guards against the end of the process when connect() fails at once, as for an
+ * address without a route.
+ */
+static void test_unreachable_address(void **state)
+{
+	/* A broadcast address, an invalid one, and one of another family. */
+	static const char *const addresses[] = {"255.255.255.255", "300.1.1.1",
+						"::1"};
+	fixture_t fixture;
+	guint i;
+
+	begin(&fixture);
+	for (i = 0; i < 2 * G_N_ELEMENTS(addresses); i++) {
+		fixture.ended = 0;
+		send_request_to(&fixture, addresses[i / 2], 80);
+		/* The second request finds no pool of the first one. */
+		assert_int_equal(fixture.ended, 0);
+		uv_run(&fixture.loop, UV_RUN_DEFAULT);
+		assert_int_equal(fixture.ended, 1);
+		assert_int_equal(fixture.result, LINK_NOT_SENT);
+		assert_int_equal(links_count(fixture.links), 0);
+	}
+	/* A cancelled request must not report its failure. */
+	fixture.ended = 0;
+	exchange_cancel(send_request_to(&fixture, "255.255.255.255", 80));
+	uv_run(&fixture.loop, UV_RUN_NOWAIT);
+	assert_int_equal(fixture.ended, 0);
+	end(&fixture);
+}
+
 /*
  * Guards against an answer to the first sending of a request that is written
  * once more, and taken for the one to its second sending.
@@ -407,6 +445,7 @@
 		cmocka_unit_test(test_rejected_head),
 		cmocka_unit_test(test_rejected_data),
 		cmocka_unit_test(test_not_sent),
+		cmocka_unit_test(test_unreachable_address),
 		cmocka_unit_test(test_resent_request),
 		cmocka_unit_test(test_cancelled),
 	};
