http/http1_reader: read no body after an interim response

Callers of streaming routes lost what an instance had in hand: it ended with SIGSEGV when an endpoint sent an interim response with a body before its answer.

Cause: http-parser reads a body after any head that states a length or chunks. on_body() passed it on, though no head had been reported, and forward_answer.c reads the head in on_data().

http-parser is told that interim responses have no body, so the bytes after one are read as the next response. 101 is refused: http-parser stopped there, and the rest of the read was dropped.

--- a/lib/http/http1_reader.c
+++ b/lib/http/http1_reader.c
@@ -8,6 +8,10 @@
 #define STATUS_INTERIM_MIN 100
 #define STATUS_FINAL_MIN   200
 
+/* Results of on_headers_complete() that http-parser defines. */
+#define HEADERS_WITHOUT_BODY 1
+#define HEADERS_INVALID	     (-1)
+
 struct http1_reader {
 	http_parser parser;
 	http1_kind_t kind;
@@ -107,8 +111,16 @@
 	http1_reader_t *reader = parser->data;
 
 	add_header(reader);
+	/* No request asks for another protocol. */
+	if (is_interim(parser) &&
+	    parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
+		return HEADERS_INVALID;
+	/*
+	 * An interim response has no body, whatever its headers say: the bytes
+	 * after them are those of the next response.
+	 */
 	if (is_interim(parser))
-		return 0;
+		return HEADERS_WITHOUT_BODY;
 	reader->is_head_done = TRUE;
 	reader->head.status = (int)parser->status_code;
 	reader->head.method = http_method_str(parser->method);
@@ -119,7 +131,7 @@
 				  (parser->flags & F_CONTENTLENGTH) ||
 				  reader->is_head_request;
 	reader->events.on_head(reader->ctx, &reader->head);
-	return reader->is_head_request;
+	return reader->is_head_request ? HEADERS_WITHOUT_BODY : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t size)
--- a/t/unit/test-http-client.c
+++ b/t/unit/test-http-client.c
@@ -18,29 +18,103 @@
 	uv_loop_t loop;
 	uv_timer_t limit;
 	http_client_t *client;
+	uv_tcp_t listener;
+	int port;
+	const char *answer; /* of the server, after which it closes */
 	int ended;
 	int kind; /* of the last call's error, or -1 */
+	int status;
+	char *body;
 } fixture_t;
 
+typedef struct {
+	uv_tcp_t tcp;
+	uv_write_t write;
+	fixture_t *fixture;
+} peer_t;
+
 static void on_limit(uv_timer_t *timer)
 {
 	fail_msg("the test timed out");
 }
 
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	static char bytes[4096];
+
+	*buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void on_peer_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void peer_close(peer_t *peer)
+{
+	if (!uv_is_closing((uv_handle_t *)&peer->tcp))
+		uv_close((uv_handle_t *)&peer->tcp, on_peer_closed);
+}
+
+static void on_answered(uv_write_t *write, int status)
+{
+	peer_close(write->data);
+}
+
+static void on_request(uv_stream_t *stream, ssize_t size,
+		       const uv_buf_t *buffer)
+{
+	peer_t *peer = stream->data;
+	const char *answer = peer->fixture->answer;
+	uv_buf_t bytes =
+		uv_buf_init((char *)answer, (unsigned int)strlen(answer));
+
+	uv_read_stop(stream);
+	if (size > 0)
+		uv_write(&peer->write, stream, &bytes, 1, on_answered);
+	else if (size < 0)
+		peer_close(peer);
+}
+
+static void on_connection(uv_stream_t *listener, int status)
+{
+	peer_t *peer = g_new0(peer_t, 1);
+
+	peer->fixture = listener->data;
+	uv_tcp_init(listener->loop, &peer->tcp);
+	peer->tcp.data = peer;
+	peer->write.data = peer;
+	uv_accept(listener, (uv_stream_t *)&peer->tcp);
+	uv_read_start((uv_stream_t *)&peer->tcp, on_alloc, on_request);
+}
+
 static void begin(fixture_t *fixture)
 {
+	struct sockaddr_in address;
+	int size = sizeof(address);
+
 	memset(fixture, 0, sizeof(*fixture));
 	uv_loop_init(&fixture->loop);
 	uv_timer_init(&fixture->loop, &fixture->limit);
 	uv_timer_start(&fixture->limit, on_limit, LIMIT_MS, 0);
 	uv_unref((uv_handle_t *)&fixture->limit);
 	fixture->client = http_client_create(&fixture->loop);
+	uv_tcp_init(&fixture->loop, &fixture->listener);
+	fixture->listener.data = fixture;
+	uv_ip4_addr("127.0.0.1", 0, &address);
+	uv_tcp_bind(&fixture->listener, (struct sockaddr *)&address, 0);
+	uv_listen((uv_stream_t *)&fixture->listener, 8, on_connection);
+	uv_tcp_getsockname(&fixture->listener, (struct sockaddr *)&address,
+			   &size);
+	fixture->port = g_ntohs(address.sin_port);
 }
 
 static void end(fixture_t *fixture)
 {
 	http_client_destroy(fixture->client);
 	uv_close((uv_handle_t *)&fixture->limit, NULL);
+	uv_close((uv_handle_t *)&fixture->listener, NULL);
+	g_free(fixture->body);
 	uv_run(&fixture->loop, UV_RUN_DEFAULT);
 }
 
@@ -50,6 +124,9 @@
 	fixture_t *fixture = ctx;
 
 	fixture->ended++;
+	fixture->status = status;
+	g_free(fixture->body);
+	fixture->body = g_strndup(body, size);
 	fixture->kind = error ? (int)error_kind(error) : -1;
 }
 
@@ -99,10 +176,50 @@
 	end(&fixture);
 }
 
+#define DONE "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+/*
+ * Guards against bytes that follow an interim response and are taken for the
+ * body of the answer.
+ */
+static void test_body_of_interim(void **state)
+{
+	static const char *const interims[] = {
+		"HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: 8\r\n\r\n",
+		"HTTP/1.1 102 Processing\r\nTransfer-Encoding: chunked\r\n\r\n",
+	};
+	fixture_t fixture;
+	guint i;
+
+	begin(&fixture);
+	for (i = 0; i < G_N_ELEMENTS(interims); i++) {
+		char *sound = g_strconcat(interims[i], DONE, NULL);
+		char *foreign =
+			g_strconcat(interims[i], "foreign!", DONE, NULL);
+
+		fixture.answer = sound;
+		start_call(&fixture, "127.0.0.1", fixture.port, TRUE);
+		run_call(&fixture);
+		assert_int_equal(fixture.kind, -1);
+		assert_int_equal(fixture.status, 200);
+		assert_string_equal(fixture.body, "done");
+		fixture.answer = foreign;
+		start_call(&fixture, "127.0.0.1", fixture.port, TRUE);
+		run_call(&fixture);
+		assert_int_equal(fixture.kind, ERROR_INTERRUPTED);
+		assert_string_equal(fixture.body, "");
+		g_free(sound);
+		g_free(foreign);
+	}
+	end(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unreachable_address),
+		cmocka_unit_test(test_body_of_interim),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/t/unit/test-http1.c
+++ b/t/unit/test-http1.c
@@ -184,6 +184,77 @@
 	end(&at);
 }
 
+/*
+ * Guards against bytes that follow an interim response and are taken for the
+ * body of the answer, or reported before its head.
+ */
+static void test_body_of_interim(void **state)
+{
+	static const char *const framings[] = {
+		"Content-Length: 8\r\n",
+		"Transfer-Encoding: chunked\r\n",
+		"Connection: close\r\n",
+		"Connection: close\r\nContent-Length: 8\r\n",
+		"",
+	};
+	static const char *const bodies[] = {"foreign!", "8\r\nforeign!\r\n"};
+	static const int statuses[] = {100, 102, 103, 199};
+	guint n = G_N_ELEMENTS(framings) * G_N_ELEMENTS(statuses);
+	guint i;
+	guint j;
+
+	for (i = 0; i < n; i++) {
+		char *interim =
+			g_strdup_printf("HTTP/1.1 %d Interim\r\n%s\r\n",
+					statuses[i % 4], framings[i / 4]);
+		static const char answer[] =
+			"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+		char *text = g_strconcat(interim, interim, answer, NULL);
+		fixture_t at;
+
+		begin(&at, HTTP1_RESPONSES);
+		assert_int_equal(feed(&at, text, 1 + i), -1);
+		assert_string_equal(at.record.log->str,
+				    "200 keep=1 length=1;end;");
+		assert_string_equal(at.record.body->str, "done");
+		g_free(text);
+		end(&at);
+		for (j = 0; j < G_N_ELEMENTS(bodies); j++) {
+			text = g_strconcat(interim, bodies[j], answer, NULL);
+			begin(&at, HTTP1_RESPONSES);
+			assert_int_equal(feed(&at, text, 1 + i),
+					 ERROR_PROTOCOL);
+			assert_string_equal(at.record.log->str, "");
+			assert_string_equal(at.record.body->str, "");
+			g_free(text);
+			end(&at);
+		}
+		g_free(interim);
+	}
+}
+
+/* No request asks for another protocol, so none may follow an answer. */
+static void test_switched_protocol(void **state)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 101 Switching\r\nConnection: upgrade\r\n"
+		"Upgrade: other\r\n\r\nbytes of it",
+		"HTTP/1.1 101 Switching\r\nConnection: upgrade\r\n"
+		"Upgrade: other\r\nContent-Length: 5\r\n\r\nbytes",
+		"HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+	};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(answers); i++) {
+		fixture_t at;
+
+		begin(&at, HTTP1_RESPONSES);
+		assert_int_equal(feed(&at, answers[i], 200), ERROR_PROTOCOL);
+		assert_string_equal(at.record.log->str, "");
+		end(&at);
+	}
+}
+
 /* Ambiguous lengths allow request smuggling and must be rejected. */
 static void test_smuggling(void **state)
 {
@@ -253,6 +324,8 @@
 		cmocka_unit_test(test_truncated),
 		cmocka_unit_test(test_ended_by_eof),
 		cmocka_unit_test(test_interim),
+		cmocka_unit_test(test_body_of_interim),
+		cmocka_unit_test(test_switched_protocol),
 		cmocka_unit_test(test_smuggling),
 		cmocka_unit_test(test_large_head),
 		cmocka_unit_test(test_hop_by_hop_headers),
