route/quarantine: count each crash of an engine that returns

Cause: a suspicion counted each engine's id once, to tell the reports of several instances of one crash from several crashes; three ids were needed for a hold. Naming the incarnation by its start is not enough: a trial of it counted four crashes as three, since an instance sends to an engine that is back before it has read the new entry.

Each report says now when the newest request was sent that ran there. A crash is another one if that was after the last crash of the engine; late reports of one crash stay one. An older build sends 0, which never counts as another crash.

--- a/lib/front/adapters.h
+++ b/lib/front/adapters.h
@@ -68,8 +68,13 @@
 
 typedef struct {
 	parts_news_t news;
-	const char *engine;	  /* of PARTS_CRASHED, else NULL */
-	ms_t time_left;		  /* of PARTS_HELD, else 0 */
+	const char *engine; /* of PARTS_CRASHED, else NULL */
+	/*
+	 * Of PARTS_HELD, the time left; of PARTS_CRASHED, how long ago the
+	 * newest request was sent that ran there; 0 from an older
+	 * version.
+	 */
+	ms_t time;
 	const char *const *parts; /* NULL-terminated */
 } parts_message_t;
 
--- a/lib/front/adapters_broadcast.c
+++ b/lib/front/adapters_broadcast.c
@@ -62,7 +62,7 @@
 	message.news =
 		(parts_news_t)codec_read_int(reader, 0, PARTS_NEWS_COUNT - 1);
 	message.engine = engine = codec_read_text(reader, NAME_MAX_BYTES);
-	message.time_left = codec_read_int(reader, 0, INT64_MAX);
+	message.time = codec_read_int(reader, 0, INT64_MAX);
 	codec_read_array(reader, &rows);
 	while (rows.left && !rows.is_failed && parts->len < PARTS_MAX) {
 		char *part = codec_read_text(&rows, NAME_MAX_BYTES);
@@ -147,7 +147,7 @@
 	codec_write_init(&writer, MESSAGE_PARTS, 4);
 	codec_write_int(&writer, message->news);
 	codec_write_text(&writer, message->engine);
-	codec_write_int(&writer, message->time_left);
+	codec_write_int(&writer, message->time);
 	codec_write_array(&writer, count);
 	for (i = 0; i < count; i++)
 		codec_write_text(&writer, message->parts[i]);
--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -256,7 +256,8 @@
 static void handle_broken_stream(forward_t *forward)
 {
 	fleet_endpoint_note_failure(forward->endpoint, forward_now(forward));
-	front_note_cut_run(forward->front, forward->endpoint, forward->parts);
+	front_note_cut_run(forward->front, forward->endpoint, forward->parts,
+			   forward->sent_at);
 	forward->failure_reason = "stream ended inside an event";
 	forward_retry(forward, OUTCOME_UNKNOWN, ERROR_INTERRUPTED);
 }
@@ -310,7 +311,7 @@
 	fleet_endpoint_note_failure(forward->endpoint, forward_now(forward));
 	if (result != LINK_NOT_SENT)
 		front_note_cut_run(forward->front, forward->endpoint,
-				   forward->parts);
+				   forward->parts, forward->sent_at);
 	if (result == LINK_NOT_SENT) {
 		forward->endpoint_attempts--;
 		forward->transmissions--;
--- a/lib/front/front_parts.c
+++ b/lib/front/front_parts.c
@@ -6,17 +6,18 @@
 typedef struct {
 	front_t *front;
 	char *engine;
+	ms_t began_at; /* when the newest of them was sent */
 	GHashTable *parts;
 } crash_check_t;
 
 static void note_crash(front_t *front, const char *engine,
-		       const char *const *parts)
+		       const char *const *parts, ms_t began_at)
 {
 	ms_t now = ms_clock_now(front->clock);
 
 	for (; *parts; parts++) {
 		if (!quarantine_note_crash(front->quarantine, now, *parts,
-					   engine))
+					   engine, began_at))
 			continue;
 		counter_add(front->parts_held, 1);
 		log_warn("prompt part held", "part", *parts, "endpoint", engine,
@@ -36,13 +37,14 @@
 	parts_message_t message = {
 		.news = PARTS_CRASHED,
 		.engine = check->engine,
+		.time = MAX(ms_clock_now(front->clock) - check->began_at, 1),
 		.parts = parts,
 	};
 
 	if (reach == REACH_REFUSED) {
 		log_info("engine crashed under requests", "endpoint",
 			 check->engine, NULL);
-		note_crash(front, check->engine, parts);
+		note_crash(front, check->engine, parts, check->began_at);
 		adapters_send_parts(front->adapters, NULL, &message);
 	}
 	g_hash_table_remove(front->crash_checks, check->engine);
@@ -53,7 +55,7 @@
 }
 
 void front_note_cut_run(front_t *front, const fleet_endpoint_t *engine,
-			char *const *parts)
+			char *const *parts, ms_t began_at)
 {
 	const char *id = fleet_endpoint_id(engine);
 	crash_check_t *check = g_hash_table_lookup(front->crash_checks, id);
@@ -71,6 +73,7 @@
 			    fleet_endpoint_address(engine),
 			    fleet_endpoint_port(engine), on_reach, check);
 	}
+	check->began_at = MAX(check->began_at, began_at);
 	for (; *parts; parts++)
 		g_hash_table_add(check->parts, g_strdup(*parts));
 }
@@ -124,18 +127,19 @@
 		if (!quarantine_time_left(front->quarantine, now, *part))
 			log_info("prompt part held", "part", *part, "why",
 				 "another instance holds it", NULL);
-		quarantine_hold(front->quarantine, now, *part,
-				message->time_left);
+		quarantine_hold(front->quarantine, now, *part, message->time);
 	}
 }
 
 void front_on_parts(void *ctx, const parts_message_t *message)
 {
 	front_t *front = ctx;
+	ms_t now = ms_clock_now(front->clock);
 
 	switch (message->news) {
 	case PARTS_CRASHED:
-		note_crash(front, message->engine, message->parts);
+		note_crash(front, message->engine, message->parts,
+			   message->time ? now - message->time : 0);
 		break;
 	case PARTS_ANSWERED:
 		note_answers(front, message->parts);
@@ -157,7 +161,7 @@
 	const char *parts[] = {part, NULL};
 	parts_message_t message = {
 		.news = PARTS_HELD,
-		.time_left = time_left,
+		.time = time_left,
 		.parts = parts,
 	};
 
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -155,11 +155,11 @@
  */
 
 /*
- * The connection of a request with these parts has ended early.  If the engine
- * takes no connection either, it has crashed.
+ * The connection of a request with these parts, sent at began_at, has ended
+ * early.  If the engine takes no connection either, it has crashed.
  */
 void front_note_cut_run(front_t *front, const fleet_endpoint_t *engine,
-			char *const *parts);
+			char *const *parts, ms_t began_at);
 /* A request with these parts was answered in full. */
 void front_note_answered_parts(front_t *front, char *const *parts);
 /* Returns how long requests with these parts are not sent; 0 if they may be. */
--- a/lib/route/quarantine.c
+++ b/lib/route/quarantine.c
@@ -5,7 +5,7 @@
 #include "base/log.h"
 
 typedef struct {
-	GHashTable *engines; /* ids of those that crashed */
+	GHashTable *engines; /* those that crashed, and when they last did */
 	int score;
 	guint moment;	   /* of the last crash that counts in the score */
 	guint held_moment; /* of the crash that led to the last hold */
@@ -82,7 +82,8 @@
 	g_hash_table_foreach_remove(quarantine->suspects, remove_if_stale,
 				    &now);
 	suspect = g_new0(suspect_t, 1);
-	suspect->engines = create_set();
+	suspect->engines =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_hash_table_insert(quarantine->suspects, g_strdup(part), suspect);
 	return suspect;
 }
@@ -156,19 +157,32 @@
 	quarantine->moment_engine = g_strdup(engine);
 }
 
+/* Returns FALSE if the crash was reported before. */
+static gboolean add_crash(suspect_t *suspect, ms_t now, const char *engine,
+			  ms_t began_at)
+{
+	const ms_t *last = g_hash_table_lookup(suspect->engines, engine);
+
+	if (last && began_at <= *last)
+		return FALSE;
+	g_hash_table_insert(suspect->engines, g_strdup(engine),
+			    g_memdup2(&now, sizeof(now)));
+	return TRUE;
+}
+
 gboolean quarantine_note_crash(quarantine_t *quarantine, ms_t now,
-			       const char *part, const char *engine)
+			       const char *part, const char *engine,
+			       ms_t began_at)
 {
 	suspect_t *suspect = get_suspect(quarantine, now, part);
 	ms_t term = QUARANTINE_FIRST_MS;
 
-	/* An engine may have its former id again by then. */
 	if (suspect->held_until && now >= suspect->held_until) {
 		suspect->held_until = 0;
 		g_hash_table_remove_all(suspect->engines);
 	}
 	/* Several instances report one crash. */
-	if (!g_hash_table_add(suspect->engines, g_strdup(engine)))
+	if (!add_crash(suspect, now, engine, began_at))
 		return FALSE;
 	note_moment(quarantine, now, engine);
 	if (now < suspect->held_until || suspect->moment == quarantine->moment)
--- a/lib/route/quarantine.h
+++ b/lib/route/quarantine.h
@@ -15,6 +15,10 @@
  * in common, such as a rack without power.  Together they count half as much as
  * one engine that crashes alone.
  *
+ * Several instances report one crash, each with the time at which its request
+ * was sent.  An engine that starts again, also under its former id, crashes
+ * once more if the request was sent after the last crash of it.
+ *
  * A part is held for some time, longer each time.  Afterwards one more crash is
  * enough.  Crashes and answers of all instances are to be noted here.
  *
@@ -58,11 +62,14 @@
 void quarantine_destroy(quarantine_t *quarantine);
 
 /*
- * An engine has crashed while a request with the part ran there.  Returns TRUE
- * if the part is held from now on, and was not before.
+ * An engine has crashed while a request with the part ran there; it was sent
+ * at began_at, and so was any other one that the engine ran then, or before.
+ * Returns TRUE if the part
+ * is held from now on, and was not before.
  */
 gboolean quarantine_note_crash(quarantine_t *quarantine, ms_t now,
-			       const char *part, const char *engine);
+			       const char *part, const char *engine,
+			       ms_t began_at);
 
 /*
  * A request with the part was answered in full.  Returns TRUE if that ends a
--- a/t/unit/test-quarantine.c
+++ b/t/unit/test-quarantine.c
@@ -10,6 +10,16 @@
 
 #include "route/quarantine.h"
 
+/* How long the requests of these tests ran before a crash. */
+#define RUN_MS 500
+
+static gboolean note_crash(quarantine_t *quarantine, ms_t now, const char *part,
+			   const char *engine)
+{
+	return quarantine_note_crash(quarantine, now, part, engine,
+				     now - RUN_MS);
+}
+
 static int setup(void **state)
 {
 	*state = quarantine_create();
@@ -25,9 +35,9 @@
 /* Three engines crash one after the other, the last one at 2,000 ms. */
 static void hold_part(quarantine_t *quarantine, const char *part)
 {
-	quarantine_note_crash(quarantine, 1000, part, "e1");
-	quarantine_note_crash(quarantine, 1500, part, "e2");
-	assert_true(quarantine_note_crash(quarantine, 2000, part, "e3"));
+	note_crash(quarantine, 1000, part, "e1");
+	note_crash(quarantine, 1500, part, "e2");
+	assert_true(note_crash(quarantine, 2000, part, "e3"));
 }
 
 /* Each engine that begins to answer crashes: the fourth request is not sent. */
@@ -35,13 +45,13 @@
 {
 	quarantine_t *quarantine = *state;
 
-	assert_false(quarantine_note_crash(quarantine, 1000, "bad", "e1"));
+	assert_false(note_crash(quarantine, 1000, "bad", "e1"));
 	assert_int_equal(quarantine_time_left(quarantine, 1000, "bad"), 0);
-	assert_false(quarantine_note_crash(quarantine, 1500, "bad", "e2"));
-	assert_true(quarantine_note_crash(quarantine, 2000, "bad", "e3"));
+	assert_false(note_crash(quarantine, 1500, "bad", "e2"));
+	assert_true(note_crash(quarantine, 2000, "bad", "e3"));
 	assert_int_equal(quarantine_time_left(quarantine, 2000, "bad"),
 			 QUARANTINE_FIRST_MS);
-	assert_false(quarantine_note_crash(quarantine, 2100, "bad", "e4"));
+	assert_false(note_crash(quarantine, 2100, "bad", "e4"));
 }
 
 /* Reports of one crash by several instances are one crash. */
@@ -49,12 +59,40 @@
 {
 	quarantine_t *quarantine = *state;
 
-	quarantine_note_crash(quarantine, 1000, "bad", "e1");
-	quarantine_note_crash(quarantine, 2000, "bad", "e2");
-	assert_false(quarantine_note_crash(quarantine, 2400, "bad", "e2"));
+	note_crash(quarantine, 1000, "bad", "e1");
+	note_crash(quarantine, 2000, "bad", "e2");
+	assert_false(note_crash(quarantine, 2400, "bad", "e2"));
 	assert_int_equal(quarantine_time_left(quarantine, 2400, "bad"), 0);
 }
 
+/*
+ * Guards against an engine that starts again under its name, and of which only
+ * the first crash counts: with one or two engines no part was ever held.
+ */
+static void test_engines_that_return(void **state)
+{
+	quarantine_t *quarantine = *state;
+	ms_t now = 1000;
+	int i;
+
+	/* Each crash is reported by two instances, once of them late. */
+	for (i = 1; i <= 3; i++) {
+		ms_t late = i == 2 ? 5000 : RUN_MS;
+
+		assert_int_equal(quarantine_note_crash(quarantine, now, "one",
+						       "e1", now - 20),
+				 i == 3);
+		assert_false(quarantine_note_crash(quarantine, now + late,
+						   "one", "e1", now - RUN_MS));
+		now += late + 20;
+	}
+	assert_true(quarantine_time_left(quarantine, now, "one") > 0);
+	assert_false(note_crash(quarantine, now, "two", "e1"));
+	assert_false(note_crash(quarantine, now + 100, "two", "e2"));
+	now += 2 * RUN_MS;
+	assert_true(note_crash(quarantine, now, "two", "e1"));
+}
+
 /*
  * Racks that lose power take engines with a rare part on several of them.  The
  * first engine of each seems to crash alone, until the others follow.
@@ -72,8 +110,7 @@
 			char engine[32];
 
 			snprintf(engine, sizeof(engine), "e%d-%d", rack, i);
-			quarantine_note_crash(quarantine, now + i, "rare",
-					      engine);
+			note_crash(quarantine, now + i, "rare", engine);
 		}
 		assert_int_equal(
 			quarantine_time_left(quarantine, now + 8, "rare"), 0);
@@ -90,7 +127,7 @@
 		char engine[16];
 
 		snprintf(engine, sizeof(engine), "e%d", i);
-		quarantine_note_crash(quarantine, 1000 + 20 * i, "bad", engine);
+		note_crash(quarantine, 1000 + 20 * i, "bad", engine);
 	}
 	assert_true(quarantine_time_left(quarantine, 1800, "bad") > 0);
 }
@@ -101,8 +138,8 @@
 	quarantine_t *quarantine = *state;
 
 	hold_part(quarantine, "bad");
-	quarantine_note_crash(quarantine, 3000, "rare", "e3");
-	quarantine_note_crash(quarantine, 3001, "rare", "e4");
+	note_crash(quarantine, 3000, "rare", "e3");
+	note_crash(quarantine, 3001, "rare", "e4");
 	assert_true(quarantine_time_left(quarantine, 3001, "bad") > 0);
 }
 
@@ -118,8 +155,7 @@
 
 		snprintf(engine, sizeof(engine), "e%d", i);
 		now += 500;
-		assert_false(quarantine_note_crash(quarantine, now, "shared",
-						   engine));
+		assert_false(note_crash(quarantine, now, "shared", engine));
 		assert_true(quarantine_note_answer(quarantine, "shared"));
 		assert_false(quarantine_note_answer(quarantine, "shared"));
 	}
@@ -136,9 +172,9 @@
 		char engine[16];
 
 		snprintf(engine, sizeof(engine), "e%d", i);
-		assert_int_equal(quarantine_note_crash(quarantine, i * 1000,
-						       "known", engine),
-				 i == 5);
+		assert_int_equal(
+			note_crash(quarantine, i * 1000, "known", engine),
+			i == 5);
 	}
 }
 
@@ -157,9 +193,9 @@
 	quarantine_t *quarantine = *state;
 	ms_t later = 1001 + QUARANTINE_SUSPICION_MS;
 
-	quarantine_note_crash(quarantine, 500, "rare", "e1");
-	quarantine_note_crash(quarantine, 1000, "rare", "e2");
-	assert_false(quarantine_note_crash(quarantine, later, "rare", "e3"));
+	note_crash(quarantine, 500, "rare", "e1");
+	note_crash(quarantine, 1000, "rare", "e2");
+	assert_false(note_crash(quarantine, later, "rare", "e3"));
 }
 
 /* After its time a part gets one more request, then twice the time. */
@@ -175,8 +211,7 @@
 		now += term;
 		assert_int_equal(quarantine_time_left(quarantine, now, "bad"),
 				 0);
-		assert_true(
-			quarantine_note_crash(quarantine, now, "bad", "e3"));
+		assert_true(note_crash(quarantine, now, "bad", "e3"));
 		term = MIN(2 * term, QUARANTINE_MAX_MS);
 		assert_int_equal(quarantine_time_left(quarantine, now, "bad"),
 				 term);
@@ -196,7 +231,7 @@
 	quarantine_t *quarantine = *state;
 	int held = 0;
 
-	quarantine_note_crash(quarantine, 500, "rare", "e1");
+	note_crash(quarantine, 500, "rare", "e1");
 	quarantine_hold(quarantine, 1000, "bad", 5000);
 	quarantine_hold(quarantine, 1000, "bad", 3000);
 	quarantine_foreach_held(quarantine, 2000, count_held, &held);
@@ -217,10 +252,8 @@
 	}
 	for (i = 1; i <= 3; i++) {
 		snprintf(engine, sizeof(engine), "e%d", i);
-		assert_false(quarantine_note_crash(quarantine, i * 1000, part,
-						   engine));
-		assert_int_equal(quarantine_note_crash(quarantine, i * 1000,
-						       "p0", engine),
+		assert_false(note_crash(quarantine, i * 1000, part, engine));
+		assert_int_equal(note_crash(quarantine, i * 1000, "p0", engine),
 				 i == 3);
 	}
 }
@@ -232,6 +265,8 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_one_crash_reported_twice,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_engines_that_return, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_engines_lost_at_once,
 						setup, teardown),
 		cmocka_unit_test_setup_teardown(
