route/quarantine: end the holds of a part one after the other

When a hold ends, each instance that has a request with the part sends it at once: up to one crash an instance before the first is known.

Each instance prolongs its hold at random by up to half of it. A crash that is reported after the first of them may have ended renews the hold everywhere, so that the others don't try.

test-quarantine test_holds_end_one_after_the_other, nine instances: nine sent at one moment before, one or two now.

--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -444,7 +444,7 @@
 	front->replica_requests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	front->updates = kv_items_create();
-	front->quarantine = quarantine_create();
+	front->quarantine = quarantine_create(front->rand);
 	front->crash_checks =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	front->relay = create_relay(front);
--- a/lib/route/quarantine.c
+++ b/lib/route/quarantine.c
@@ -11,11 +11,14 @@
 	guint held_moment; /* of the crash that led to the last hold */
 	ms_t last_crash_at;
 	ms_t held_until;
+	/* The holds of other instances may have ended from then on. */
+	ms_t first_end_at;
 	ms_t term; /* of the last hold; 0 if there was none */
 	ms_t former_term;
 } suspect_t;
 
 struct quarantine {
+	GRand *rand;
 	/* The last moment at which engines crashed, numbered from 1. */
 	guint moment;
 	ms_t moment_at;
@@ -40,10 +43,11 @@
 	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
-quarantine_t *quarantine_create(void)
+quarantine_t *quarantine_create(GRand *rand)
 {
 	quarantine_t *quarantine = g_new0(quarantine_t, 1);
 
+	quarantine->rand = rand;
 	quarantine->suspects = g_hash_table_new_full(g_str_hash, g_str_equal,
 						     g_free, suspect_free);
 	quarantine->proven = create_set();
@@ -96,12 +100,22 @@
 
 static void hold(suspect_t *suspect, ms_t now, ms_t time)
 {
-	suspect->held_until = now + time;
+	suspect->first_end_at = now + time;
+	suspect->held_until = suspect->first_end_at;
 	suspect->former_term = suspect->term;
 	suspect->term = time;
 	suspect->held_moment = suspect->moment;
 }
 
+static ms_t draw_spread(const quarantine_t *quarantine, ms_t time)
+{
+	ms_t max = time * QUARANTINE_SPREAD_PERCENT / 100;
+
+	return quarantine->rand
+		       ? g_rand_int_range(quarantine->rand, 0, (gint32)max + 1)
+		       : 0;
+}
+
 static gboolean must_be_held(const quarantine_t *quarantine,
 			     const suspect_t *suspect, const char *part)
 {
@@ -185,7 +199,9 @@
 	if (!add_crash(suspect, now, engine, began_at))
 		return FALSE;
 	note_moment(quarantine, now, engine);
-	if (now < suspect->held_until || suspect->moment == quarantine->moment)
+	/* The request may have been sent before the hold. */
+	if (now < MIN(suspect->held_until, suspect->first_end_at) ||
+	    suspect->moment == quarantine->moment)
 		return FALSE;
 	suspect->moment = quarantine->moment;
 	suspect->last_crash_at = now;
@@ -196,6 +212,7 @@
 	if (suspect->term)
 		term = MIN(2 * suspect->term, QUARANTINE_MAX_MS);
 	hold(suspect, now, term);
+	suspect->held_until += draw_spread(quarantine, term);
 	return TRUE;
 }
 
@@ -217,8 +234,12 @@
 	suspect_t *suspect = get_suspect(quarantine, now, part);
 
 	time = MIN(time, QUARANTINE_MAX_MS);
-	if (now + time > suspect->held_until)
-		hold(suspect, now, time);
+	if (now + time <= suspect->held_until)
+		return;
+	hold(suspect, now, time);
+	/* That instance may end its hold after others do. */
+	suspect->first_end_at =
+		now + time * 100 / (100 + QUARANTINE_SPREAD_PERCENT);
 }
 
 ms_t quarantine_time_left(const quarantine_t *quarantine, ms_t now,
--- a/lib/route/quarantine.h
+++ b/lib/route/quarantine.h
@@ -20,7 +20,9 @@
  * once more if the request was sent after the last crash of it.
  *
  * A part is held for some time, longer each time.  Afterwards one more crash is
- * enough.  Crashes and answers of all instances are to be noted here.
+ * enough.  The instances end their holds one after the other, so that the first
+ * request that is sent then can tell the others whether the part still crashes
+ * engines.  Crashes and answers of all instances are to be noted here.
  *
  * No I/O and no clock: the time is an argument of each call.
  */
@@ -51,6 +53,9 @@
 #define QUARANTINE_FIRST_MS (60 * MS_PER_S)
 #define QUARANTINE_MAX_MS   (4 * 60 * 60 * MS_PER_S)
 
+/* By how much an instance prolongs each hold at the most, at random. */
+#define QUARANTINE_SPREAD_PERCENT 50
+
 /*
  * Parts that are remembered as answered: between this number and twice of it.
  */
@@ -58,7 +63,8 @@
 
 typedef struct quarantine quarantine_t;
 
-quarantine_t *quarantine_create(void);
+/* rand: spreads the ends of holds over the instances; NULL for no spread. */
+quarantine_t *quarantine_create(GRand *rand);
 void quarantine_destroy(quarantine_t *quarantine);
 
 /*
--- a/t/unit/test-quarantine.c
+++ b/t/unit/test-quarantine.c
@@ -22,7 +22,7 @@
 
 static int setup(void **state)
 {
-	*state = quarantine_create();
+	*state = quarantine_create(NULL);
 	return 0;
 }
 
@@ -218,6 +218,43 @@
 	}
 }
 
+/*
+ * Guards against all instances that send a request with the part at the moment
+ * at which its hold ends: one of them does, and the others are told of its end.
+ */
+static void test_holds_end_one_after_the_other(void **state)
+{
+	enum { INSTANCES = 9 };
+	quarantine_t *instances[INSTANCES];
+	GRand *rand = g_rand_new_with_seed(7);
+	ms_t now = 2000;
+	int sent = 0;
+	int round;
+	int i;
+	int j;
+
+	for (i = 0; i < INSTANCES; i++) {
+		instances[i] = quarantine_create(rand);
+		hold_part(instances[i], "bad");
+	}
+	for (round = 0; round < 3; round++) {
+		ms_t end = now + 2 * (QUARANTINE_FIRST_MS << round);
+
+		sent = 0;
+		for (; now < end && !sent; now += 100) {
+			for (i = 0; i < INSTANCES; i++)
+				sent += !quarantine_time_left(instances[i], now,
+							      "bad");
+		}
+		assert_in_range(sent, 1, 2);
+		for (j = 0; j < INSTANCES; j++)
+			assert_true(note_crash(instances[j], now, "bad", "e1"));
+	}
+	for (i = 0; i < INSTANCES; i++)
+		quarantine_destroy(instances[i]);
+	g_rand_free(rand);
+}
+
 static void count_held(void *ctx, const char *part, ms_t time_left)
 {
 	(*(int *)ctx)++;
@@ -283,6 +320,7 @@
 						teardown),
 		cmocka_unit_test_setup_teardown(test_longer_each_time, setup,
 						teardown),
+		cmocka_unit_test(test_holds_end_one_after_the_other),
 		cmocka_unit_test_setup_teardown(test_held_by_another, setup,
 						teardown),
 		cmocka_unit_test_setup_teardown(test_many_parts, setup,
