--- a/lib/front/adapters_broadcast.c
+++ b/lib/front/adapters_broadcast.c
@@ -48,7 +48,7 @@
 	g_array_free(items, TRUE);
 }
 
-/* Most parts in one message: those of all requests at one engine. */
+/* Most parts in one message; more are sent in several. */
 #define PARTS_MAX 4096
 
 void adapters_receive_parts(adapters_t *adapters, conn_t *conn,
@@ -134,26 +134,39 @@
 	const parts_message_t *message;
 } parts_broadcast_t;
 
-static void send_parts(void *ctx, const char *name, gboolean is_up)
+static void send_parts_message(const parts_broadcast_t *broadcast,
+			       const char *name, const char *const *parts,
+			       uint32_t count)
 {
-	const parts_broadcast_t *broadcast = ctx;
 	const parts_message_t *message = broadcast->message;
-	uint32_t count = g_strv_length((char **)message->parts);
 	codec_writer_t writer;
 	uint32_t i;
 
-	if (!is_up)
-		return;
 	codec_write_init(&writer, MESSAGE_PARTS, 4);
 	codec_write_int(&writer, message->news);
 	codec_write_text(&writer, message->engine);
 	codec_write_int(&writer, message->time);
 	codec_write_array(&writer, count);
 	for (i = 0; i < count; i++)
-		codec_write_text(&writer, message->parts[i]);
+		codec_write_text(&writer, parts[i]);
 	peers_send(broadcast->adapters->peers, name, &writer);
 }
 
+static void send_parts(void *ctx, const char *name, gboolean is_up)
+{
+	const parts_broadcast_t *broadcast = ctx;
+	const char *const *parts = broadcast->message->parts;
+	uint32_t left = g_strv_length((char **)parts);
+
+	while (is_up && left) {
+		uint32_t count = MIN(left, PARTS_MAX);
+
+		send_parts_message(broadcast, name, parts, count);
+		parts += count;
+		left -= count;
+	}
+}
+
 void adapters_send_parts(adapters_t *adapters, const char *instance,
 			 const parts_message_t *message)
 {
