route/removals: put off no removal after a single failed call

Cause: any failed call counted as an outage of the store. That the watch is slow to poll again was ruled out: the log has the removal 50 to 100 ms after the cut.

Records lapse only in an absence of some heartbeats: after a shorter one a removal counts at once. The decision is route/removals, without I/O; the time between heartbeats is a setting that the platform fills in. What is put off has a timer of its own, and waits no longer than drain_ms.

--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -39,7 +39,7 @@
  */
 G_STATIC_ASSERT(RELAY_AGE_MAX_PERCENT *POLL_INTERVAL_PERCENT / 100 <= 80);
 
-/* Interval of checks for changed settings and expired endpoints. */
+/* Interval of checks for changed settings and of periodic work. */
 #define SWEEP_MS 500
 
 /*
@@ -83,6 +83,8 @@
 		 600000},
 		{"drain_ms", SETTING_NUMBER, &settings->drain_ms, "2000", 100,
 		 600000},
+		{"heartbeat_ms", SETTING_NUMBER, &settings->heartbeat_ms,
+		 "1200", 1, 600000},
 		{"store_history_s", SETTING_NUMBER, &settings->store_history_s,
 		 "20", 1, 1000000},
 		{"repeat_share", SETTING_TEXT, &settings->repeat_share, "0.1",
@@ -198,7 +200,7 @@
 	front_t *front = timer->data;
 	ms_t changed_at = settings_mtime(front);
 
-	front_remove_expired(front, ms_clock_now(front->clock));
+	front_forget_departed(front, ms_clock_now(front->clock));
 	front_share_budget(front);
 	if (changed_at && changed_at != front->settings_changed_at)
 		front_reload(front);
@@ -333,7 +335,7 @@
 		.poll_interval = front_poll_interval,
 		.skip_time = front_poll_skip_time,
 		.on_polled = front_on_polled,
-		.on_contact = front_on_store_contact,
+		.on_regained = front_on_store_regained,
 		.on_history = front_on_history,
 		.ctx = front,
 	};
@@ -437,8 +439,7 @@
 	TAILQ_INIT(&front->forwards);
 	front->versions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	front->removals =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	front_create_removals(front);
 	front->departed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	front->replica_requests =
--- a/lib/front/front_items.c
+++ b/lib/front/front_items.c
@@ -2,12 +2,6 @@
 #include "front/front_private.h"
 #include "platform/decode.h"
 
-/*
- * Endpoints whose records expired while the store was away reappear within two
- * seconds of its return.
- */
-#define REAPPEAR_MS 2000
-
 /*
  * How long it is known that an endpoint was removed; far longer than a copy
  * from which the store may come back is old.
@@ -118,18 +112,40 @@
 	forward_on_endpoint_gone(front, id);
 }
 
-static void handle_endpoint_removal(front_t *front, const char *id)
+static void on_removal_due(uv_timer_t *timer);
+
+static void schedule_removals(front_t *front)
 {
+	ms_t next = removals_next(front->removals);
+	ms_t wait = next - ms_clock_now(front->clock);
+
+	if (next != MS_NEVER)
+		uv_timer_start(&front->removal_timer, on_removal_due,
+			       (uint64_t)MAX(wait, 0), 0);
+}
+
+static void on_removal_due(uv_timer_t *timer)
+{
+	front_t *front = timer->data;
 	ms_t now = ms_clock_now(front->clock);
-	ms_t due = front->store_regained_at + REAPPEAR_MS;
+	char *id;
+
+	while ((id = removals_take_due(front->removals, now))) {
+		remove_endpoint(front, id);
+		g_free(id);
+	}
+	schedule_removals(front);
+}
 
-	if (!front->store_regained_at || now >= due) {
+static void handle_endpoint_removal(front_t *front, const char *id)
+{
+	if (!removals_defer(front->removals, ms_clock_now(front->clock), id)) {
 		remove_endpoint(front, id);
 		return;
 	}
-	log_info("endpoint record expired", "endpoint", id, NULL);
-	g_hash_table_insert(front->removals, g_strdup(id),
-			    g_memdup2(&due, sizeof(due)));
+	log_info("endpoint removal deferred", "endpoint", id, "why",
+		 "its record may have expired while the store was away", NULL);
+	schedule_removals(front);
 }
 
 /*
@@ -152,7 +168,7 @@
 			handle_endpoint_removal(front, id);
 		return TRUE;
 	}
-	g_hash_table_remove(front->removals, id);
+	removals_cancel(front->removals, id);
 	if (!decode_endpoint(id, item->value, item->size, &decoded, &error)) {
 		log_item("endpoint unreadable", item, error->message);
 		g_clear_error(&error);
@@ -351,38 +367,31 @@
 	}
 	relay_begin_history(front->relay, history);
 	/* Records that it has lost are written again, as after an outage. */
-	front->store_regained_at = ms_clock_now(front->clock);
+	removals_note_restored(front->removals, ms_clock_now(front->clock));
 	g_array_set_size(front->updates, 0);
 	mirror_begin_history(front->mirror);
 }
 
-void front_on_store_contact(void *ctx, gboolean is_lost)
+void front_on_store_regained(void *ctx, ms_t absence)
 {
 	front_t *front = ctx;
 
-	if (is_lost)
-		return;
-	front->store_regained_at = ms_clock_now(front->clock);
+	if (removals_note_return(front->removals, ms_clock_now(front->clock),
+				 absence))
+		log_info("endpoint records may have expired", "why",
+			 "the store was away for some heartbeats", NULL);
 	adapters_on_store_regained(front->adapters);
 }
 
-void front_remove_expired(front_t *front, ms_t now)
+void front_create_removals(front_t *front)
 {
-	GPtrArray *due = g_ptr_array_new_with_free_func(g_free);
-	GHashTableIter iter;
-	gpointer id;
-	gpointer due_at;
-	guint i;
+	front->removals = removals_create((ms_t)front->settings.heartbeat_ms,
+					  (ms_t)front->settings.drain_ms);
+	uv_timer_init(process_loop(front->process), &front->removal_timer);
+	front->removal_timer.data = front;
+}
 
-	g_hash_table_iter_init(&iter, front->removals);
-	while (g_hash_table_iter_next(&iter, &id, &due_at)) {
-		if (now < *(const ms_t *)due_at)
-			continue;
-		g_ptr_array_add(due, g_strdup(id));
-		g_hash_table_iter_remove(&iter);
-	}
-	for (i = 0; i < due->len; i++)
-		remove_endpoint(front, due->pdata[i]);
-	g_ptr_array_free(due, TRUE);
+void front_forget_departed(front_t *front, ms_t now)
+{
 	g_hash_table_foreach_remove(front->departed, is_forgotten, &now);
 }
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -15,6 +15,7 @@
 #include "platform/headers.h"
 #include "route/fleet.h"
 #include "route/quarantine.h"
+#include "route/removals.h"
 #include "route/retry_budget.h"
 #include "route/route_table.h"
 
@@ -43,6 +44,8 @@
 	double config_ms;
 	/* Time after which a leaving endpoint must not get new requests. */
 	double drain_ms;
+	/* Time between two heartbeats of an endpoint at the store. */
+	double heartbeat_ms;
 	/* How long the store keeps the history of changes. */
 	double store_history_s;
 	/* Repeats as a share of the requests for a service. */
@@ -74,14 +77,10 @@
 	fleet_t *fleet;
 	route_table_t *routes; /* in force; NULL before the first one */
 	GHashTable *versions;  /* adapter to its newest declared version */
-	GHashTable *removals;  /* endpoints to be removed: id to time */
+	removals_t *removals;
+	uv_timer_t removal_timer; /* of the next deferred removal */
 	/* Endpoints removed lately: id to departed_t. */
 	GHashTable *departed;
-	/*
-	 * When contact with the store was last restored; 0 if it was never
-	 * lost.
-	 */
-	ms_t store_regained_at;
 	adapters_t *adapters;
 	relay_t *relay;
 	GArray *updates; /* kv_item_t read since the last poll */
@@ -137,15 +136,14 @@
 void front_on_updates(void *ctx, const char *sender,
 		      const store_updates_t *updates);
 void front_on_instance(void *ctx, const char *instance, gboolean is_alive);
-void front_on_store_contact(void *ctx, gboolean is_lost);
+/* The store answers again, this long after its last answer. */
+void front_on_store_regained(void *ctx, ms_t absence);
 /* The store's history is known, or has changed; see platform/metadata_store.h.
  */
 void front_on_history(void *ctx, int64_t history, gboolean is_other);
-/*
- * Removes the endpoints whose records expired while the store was away and did
- * not reappear.
- */
-void front_remove_expired(front_t *front, ms_t now);
+void front_create_removals(front_t *front);
+/* Forgets endpoints that were removed long ago. */
+void front_forget_departed(front_t *front, ms_t now);
 /* Divides the retry budget among the known instances. */
 void front_share_budget(front_t *front);
 
