http_client: limit pauses of a large answer, not its whole time

A call to the store had one time limit for its whole answer: 1 s, or the wait of a poll and 0.6 s. Over a link of 10 Mbit/s, that is 1.2 MB without any other traffic; a poll that brings three versions of a configuration of 1,400 routes has more, broke off there each time, and never brought the instance further.

Calls to engines and other services keep their limits.

--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -45,6 +45,9 @@
 	size_t text_size;
 	h2o_iovec_t text_vec;
 	uv_timer_t timer;
+	ms_t answer_max;
+	ms_t pause_max;
+	uint64_t answer_due; /* loop time */
 	gboolean is_sent;
 	gboolean is_starting;	 /* http_call_start() has not returned */
 	gboolean is_in_callback; /* h2o closes the connection on return */
@@ -208,11 +211,25 @@
 		call_end(call, ERROR_UNAVAILABLE, no_connection);
 }
 
+static void on_call_timer(uv_timer_t *timer);
+
+/* Some of the answer has arrived: limits the time until more does. */
+static void limit_pause(http_call_t *call)
+{
+	uint64_t now = uv_now(call->client->loop);
+	uint64_t left = call->answer_due > now ? call->answer_due - now : 0;
+
+	if (call->answer_max > 0)
+		uv_timer_start(&call->timer, on_call_timer,
+			       MIN((uint64_t)call->pause_max, left), 0);
+}
+
 static int on_body(h2o_http1client_t *conn, const char *errstr)
 {
 	http_call_t *call = conn->data;
 	h2o_buffer_t *input = conn->sock->input;
 
+	limit_pause(call);
 	if (errstr && errstr != h2o_http1client_error_is_eos) {
 		call_end(call, ERROR_INTERRUPTED,
 			 "the answer broke off before its end; ask again with "
@@ -277,6 +294,9 @@
 		return NULL;
 	}
 	call->status = status;
+	call->answer_due =
+		uv_now(call->client->loop) + (uint64_t)call->answer_max;
+	limit_pause(call);
 	if (call->events.on_head)
 		report_head(call, headers, count);
 	if (!call->conn)
@@ -379,6 +399,8 @@
 	call->ctx = ctx;
 	call->text = render_request(request, &call->text_size);
 	call->is_head_method = !strcmp(request->method, "HEAD");
+	call->answer_max = request->answer_max;
+	call->pause_max = request->pause_max;
 	uv_timer_init(client->loop, &call->timer);
 	call->timer.data = call;
 	if (request->timeout > 0)
--- a/lib/http/http_client.h
+++ b/lib/http/http_client.h
@@ -12,7 +12,7 @@
  *  - ERROR_INTERRUPTED: the request was sent, but the connection closed before
  *    the response was complete;
  *  - ERROR_TIMEOUT: the request was sent, but the response was not complete
- *    within the time limit.
+ *    within the time limits.
  *
  * Callbacks may start other calls, but must not destroy the client.
  */
@@ -34,7 +34,13 @@
 	const http_header_t *headers; /* ends with a NULL name; may be NULL */
 	const char *body;	      /* NULL for none */
 	size_t body_size;
-	ms_t timeout;	   /* of the whole call; 0 for none */
+	ms_t timeout; /* of the whole call; 0 for none */
+	/*
+	 * If not 0, timeout ends with the head of the answer, and the rest may
+	 * take answer_max, with no pause longer than pause_max.
+	 */
+	ms_t answer_max;
+	ms_t pause_max;
 	gboolean is_fresh; /* use a new connection, and close it */
 	SSL_CTX *tls;	   /* NULL for plain text; implies is_fresh */
 	/*
--- a/t/unit/test-metadata-store.c
+++ b/t/unit/test-metadata-store.c
@@ -304,11 +304,55 @@
 	end(&fixture);
 }
 
+/*
+ * Guards against a limit on the whole time of an answer: over a slow link the
+ * answer to each poll broke off there, and the watch never went on.
+ */
+static void test_answer_that_takes_long(void **state)
+{
+	static const char *const events[] = {"op/config=a", NULL};
+	fixture_t fixture;
+
+	begin(&fixture);
+	fixture.answer = render_events(events, 3000);
+	/* Takes 3 s, ten intervals. */
+	fixture.piece = strlen(fixture.answer) / 60;
+	start_watch(&fixture);
+	while (!fixture.values->len && fixture.polls < 2)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	assert_string_equal(fixture.values->str, "op/config=a;");
+	assert_int_equal(fixture.broken, 0);
+	end(&fixture);
+}
+
+/* An answer that stops is given up, and the poll is sent again. */
+static void test_answer_that_stops(void **state)
+{
+	static const char *const events[] = {"op/config=a", NULL};
+	fixture_t fixture;
+	char *whole;
+
+	begin(&fixture);
+	whole = render_events(events, 3000);
+	fixture.answer = g_strndup(whole, strlen(whole) / 2);
+	start_watch(&fixture);
+	while (fixture.polls < 2)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	g_free(fixture.answer);
+	fixture.answer = whole;
+	while (!fixture.values->len)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	assert_string_equal(fixture.values->str, "op/config=a;");
+	end(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_hastened_during_answer),
 		cmocka_unit_test(test_hastened_between_polls),
+		cmocka_unit_test(test_answer_that_takes_long),
+		cmocka_unit_test(test_answer_that_stops),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
