--- a/t/unit/test-metadata-store.c
+++ b/t/unit/test-metadata-store.c
@@ -346,6 +346,26 @@
 	end(&fixture);
 }
 
+/*
+ * Guards against the work for each of the versions of an item that one poll
+ * brings, of which only the last one matters.
+ */
+static void test_superseded_events(void **state)
+{
+	static const char *const events[] = {"c=1", "a=1", "c=2", "b",
+					     "c=3", "b=1", "a",	  NULL};
+	fixture_t fixture;
+
+	begin(&fixture);
+	fixture.answer = render_events(events, 1);
+	start_watch(&fixture);
+	while (!fixture.polled_to)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	assert_string_equal(fixture.values->str, "c=3;b=1;a=-;");
+	assert_int_equal(fixture.polled_to, 17);
+	end(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -353,6 +373,7 @@
 		cmocka_unit_test(test_hastened_between_polls),
 		cmocka_unit_test(test_answer_that_takes_long),
 		cmocka_unit_test(test_answer_that_stops),
+		cmocka_unit_test(test_superseded_events),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
