http_client: end a call whose answer is too large

A buffered call went on reading what it had no room for, until its time was over, and a poll for more events than it may hold was sent again for good: some versions of a large configuration are more than 8 MB.

The call ends with ERROR_TOO_LARGE at the first byte too many.

--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -211,6 +211,11 @@
 		call_end(call, ERROR_UNAVAILABLE, no_connection);
 }
 
+static gboolean is_too_large(const http_call_t *call)
+{
+	return call->buffered && call->buffered->len > call->buffered_max;
+}
+
 static void on_call_timer(uv_timer_t *timer);
 
 /* Some of the answer has arrived: limits the time until more does. */
@@ -250,6 +255,11 @@
 		if (!call->conn)
 			return -1;
 	}
+	if (is_too_large(call)) {
+		call_end(call, ERROR_TOO_LARGE,
+			 "the answer's body is larger than this call reads");
+		return -1;
+	}
 	if (errstr)
 		call_end(call, ERROR_INTERNAL, NULL);
 	return 0;
@@ -431,24 +441,15 @@
 {
 	http_call_t *call = ctx;
 
-	if (call->buffered->len <= call->buffered_max)
-		g_string_append_len(call->buffered, data, (gssize)size);
+	g_string_append_len(call->buffered, data, (gssize)size);
 }
 
 static void on_whole_end(void *ctx, int status, const GError *error)
 {
 	http_call_t *call = ctx;
-	GError *too_large = NULL;
 
-	if (!error && call->buffered->len > call->buffered_max) {
-		error_set(&too_large, ERROR_TOO_LARGE,
-			  "the response body is larger than %zu bytes",
-			  call->buffered_max);
-		error = too_large;
-	}
 	call->whole_done(call->whole_ctx, status, call->buffered->str,
 			 call->buffered->len, error);
-	g_clear_error(&too_large);
 }
 
 http_call_t *http_call_buffered(http_client_t *client,
--- a/lib/http/http_client.h
+++ b/lib/http/http_client.h
@@ -80,7 +80,7 @@
 
 /*
  * Like http_call_start(), but buffers the body, up to body_max bytes, and calls
- * done once with all of it.  A larger body is reported as ERROR_TOO_LARGE.
+ * done once with all of it.  A larger body ends the call with ERROR_TOO_LARGE.
  */
 typedef void (*http_buffered_done_t)(void *ctx, int status, const char *body,
 				     size_t size, const GError *error);
--- a/t/unit/test-metadata-store.c
+++ b/t/unit/test-metadata-store.c
@@ -14,6 +14,8 @@
 #define LIMIT_MS    30000
 #define INTERVAL_MS 300
 #define TICK_MS	    50
+/* The bytes at the end of an endless answer that are sent again and again. */
+#define ENDLESS_BYTES (1024 * 1024)
 #define HEAD                                                                   \
 	"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"                \
 	"Content-Length: %zu\r\n\r\n"
@@ -21,6 +23,7 @@
 typedef struct {
 	uv_loop_t loop;
 	uv_timer_t limit;
+	uv_timer_t timer; /* of run_for() */
 	uv_tcp_t listener;
 	ms_clock_t *clock;
 	GRand *rand;
@@ -90,7 +93,7 @@
 	if (peer->sent < strlen(fixture->answer))
 		return;
 	if (fixture->is_endless)
-		peer->sent -= 100;
+		peer->sent -= ENDLESS_BYTES;
 	else
 		uv_timer_stop(timer);
 }
@@ -151,6 +154,7 @@
 	uv_loop_init(&fixture->loop);
 	uv_timer_init(&fixture->loop, &fixture->limit);
 	uv_timer_start(&fixture->limit, on_limit, LIMIT_MS, 0);
+	uv_timer_init(&fixture->loop, &fixture->timer);
 	uv_tcp_init(&fixture->loop, &fixture->listener);
 	fixture->listener.data = fixture;
 	uv_ip4_addr("127.0.0.1", 0, &address);
@@ -186,7 +190,8 @@
 	const fixture_t *fixture = ctx;
 
 	if (handle == (const uv_handle_t *)&fixture->listener ||
-	    handle == (const uv_handle_t *)&fixture->limit)
+	    handle == (const uv_handle_t *)&fixture->limit ||
+	    handle == (const uv_handle_t *)&fixture->timer)
 		uv_close(handle, NULL);
 	else if (handle->type == UV_TCP && !uv_is_closing(handle))
 		peer_close(handle->data);
@@ -248,11 +253,18 @@
 	fixture->watch = kv_watch(fixture->kv, "", 1, on_item, on_end, fixture);
 }
 
+static void on_time_over(uv_timer_t *timer)
+{
+	*(gboolean *)timer->data = TRUE;
+}
+
 static void run_for(fixture_t *fixture, ms_t time)
 {
-	ms_t until = ms_clock_now(fixture->clock) + time;
+	gboolean is_over = FALSE;
 
-	while (ms_clock_now(fixture->clock) < until)
+	fixture->timer.data = &is_over;
+	uv_timer_start(&fixture->timer, on_time_over, (uint64_t)time, 0);
+	while (!is_over)
 		uv_run(&fixture->loop, UV_RUN_ONCE);
 }
 
@@ -366,6 +378,28 @@
 	end(&fixture);
 }
 
+/*
+ * Guards against a poll that is sent again although its answer is larger than
+ * what is read of one, and against keeping the bytes of an answer without end.
+ */
+static void test_answer_too_large(void **state)
+{
+	fixture_t fixture;
+	char *filler = g_strnfill(ENDLESS_BYTES, ' ');
+
+	begin(&fixture);
+	fixture.answer = g_strconcat("HTTP/1.1 200 OK\r\n\r\n", filler, NULL);
+	fixture.is_endless = TRUE;
+	start_watch(&fixture);
+	while (!fixture.ended)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	assert_int_equal(fixture.polls, 1);
+	run_for(&fixture, 2 * TICK_MS);
+	assert_int_equal(fixture.broken, 1);
+	g_free(filler);
+	end(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -374,6 +408,7 @@
 		cmocka_unit_test(test_answer_that_takes_long),
 		cmocka_unit_test(test_answer_that_stops),
 		cmocka_unit_test(test_superseded_events),
+		cmocka_unit_test(test_answer_too_large),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
