http/http1_reader: limit the interim responses before an answer

Each is small and was skipped, so that neither the head's limit nor that of http-parser ever counted.

More than 16 before one answer are no answer. test-http1 test_interims_without_end failed before (it took all of 100).

--- a/lib/http/http1_reader.c
+++ b/lib/http/http1_reader.c
@@ -8,6 +8,9 @@
 #define STATUS_INTERIM_MIN 100
 #define STATUS_FINAL_MIN   200
 
+/* Interim responses before one answer; usual servers send one or two. */
+#define INTERIMS_MAX 16
+
 /* Results of on_headers_complete() that http-parser defines. */
 #define HEADERS_WITHOUT_BODY 1
 #define HEADERS_INVALID	     (-1)
@@ -30,6 +33,7 @@
 	gboolean is_done;
 	gboolean is_failed;
 	gboolean is_head_request;
+	int interims; /* responses before the final one */
 };
 
 static void header_clear(gpointer data)
@@ -113,7 +117,8 @@
 	add_header(reader);
 	/* No request asks for another protocol. */
 	if (is_interim(parser) &&
-	    parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
+	    (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
+	     ++reader->interims > INTERIMS_MAX))
 		return HEADERS_INVALID;
 	/*
 	 * An interim response has no body, whatever its headers say: the bytes
@@ -209,6 +214,7 @@
 	reader->is_done = FALSE;
 	reader->is_failed = FALSE;
 	reader->is_head_request = is_head;
+	reader->interims = 0;
 }
 
 static void fail(http1_reader_t *reader, GError **error)
--- a/t/unit/test-http1.c
+++ b/t/unit/test-http1.c
@@ -233,6 +233,25 @@
 	}
 }
 
+/* Guards against interim responses without end, which take all the time. */
+static void test_interims_without_end(void **state)
+{
+	static const char interim[] = "HTTP/1.1 102 Processing\r\n\r\n";
+	fixture_t at;
+	int i;
+
+	begin(&at, HTTP1_RESPONSES);
+	for (i = 0; i < 100; i++) {
+		if (feed(&at, interim, 50) != -1)
+			break;
+	}
+	assert_in_range(i, 2, 50);
+	/* The next response may have as many. */
+	http1_reader_reset(at.reader, FALSE);
+	assert_int_equal(feed(&at, interim, 50), -1);
+	end(&at);
+}
+
 /* No request asks for another protocol, so none may follow an answer. */
 static void test_switched_protocol(void **state)
 {
@@ -325,6 +344,7 @@
 		cmocka_unit_test(test_ended_by_eof),
 		cmocka_unit_test(test_interim),
 		cmocka_unit_test(test_body_of_interim),
+		cmocka_unit_test(test_interims_without_end),
 		cmocka_unit_test(test_switched_protocol),
 		cmocka_unit_test(test_smuggling),
 		cmocka_unit_test(test_large_head),
