front: hold up an endpoint whose caller reads more slowly

An endpoint that answers without end let an instance grow to 0.82 GB and more (160 MB on the smallest machines), with 20 callers that read fast, and half of the sound requests beside it got no answer.

Cause: all that an endpoint wrote was queued for its caller, and the limit of a queue (4 MB) was checked each 0.5 s only; and libuv read one connection up to 32 times before the next one had its turn.

An exchange is paused while over 64 KB are queued for its caller. A connection is read once, 16 KB, in each turn of the loop. What is buffered and queued of all answers together is bounded by a fifth of the memory that the platform states; above that, an answer is read only as far as its caller has read it. Heads have 32 KB, answers 64 MB.

--- a/lib/front/caller.c
+++ b/lib/front/caller.c
@@ -31,6 +31,13 @@
  */
 #define UNSENT_MAX_BYTES (4 * 1024 * 1024)
 
+/*
+ * Bytes queued for a caller above which it is congested, and below which it is
+ * no more.  If too much is queued for all together, it is none.
+ */
+#define CONGESTED_BYTES (64 * 1024)
+#define DRAINED_BYTES	(16 * 1024)
+
 /* TCP keepalive: detects a caller that vanished within 4 s. */
 #define KEEPALIVE_S 2
 
@@ -63,6 +70,7 @@
 	gboolean is_closing;
 	gboolean closes_after_write;
 	gboolean is_rejected; /* further bytes are discarded */
+	gboolean is_congested;
 };
 
 TAILQ_HEAD(call_list, call);
@@ -76,6 +84,7 @@
 	struct call_list calls;
 	guint count;
 	guint active;
+	size_t unsent;
 	gboolean is_draining;
 	gboolean is_closed;
 	counter_t *accepted;
@@ -85,6 +94,7 @@
 typedef struct {
 	uv_write_t write;
 	call_t *call;
+	size_t size;
 	char bytes[];
 } caller_write_t;
 
@@ -145,12 +155,46 @@
 		call->callers->events.on_gone(call->callers->ctx, call);
 }
 
+static size_t queue_size(const call_t *call)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&call->tcp);
+}
+
+static gboolean is_short_of_memory(const callers_t *callers)
+{
+	return callers->unsent > callers->options.unsent_max;
+}
+
+gboolean call_is_congested(call_t *call)
+{
+	if (queue_size(call) >
+	    (is_short_of_memory(call->callers) ? 0 : CONGESTED_BYTES))
+		call->is_congested = TRUE;
+	return call->is_congested;
+}
+
+static void note_drained(call_t *call)
+{
+	callers_t *callers = call->callers;
+
+	if (!call->is_congested ||
+	    queue_size(call) >
+		    (is_short_of_memory(callers) ? 0 : DRAINED_BYTES))
+		return;
+	call->is_congested = FALSE;
+	if (call->state != CALLER_READING && !call->is_closing)
+		callers->events.on_drained(callers->ctx, call);
+}
+
 static void on_written(uv_write_t *write, int status)
 {
 	caller_write_t *req = (caller_write_t *)write;
 	call_t *call = req->call;
 
+	call->callers->unsent -= req->size;
 	g_free(req);
+	if (status >= 0)
+		note_drained(call);
 	if (status < 0 && !call->is_closing)
 		call_lost(call);
 	else if (call->closes_after_write &&
@@ -164,11 +208,15 @@
 	uv_buf_t buffer;
 
 	req->call = call;
+	req->size = size;
+	call->callers->unsent += size;
 	memcpy(req->bytes, data, size);
 	buffer = uv_buf_init(req->bytes, (unsigned int)size);
 	if (uv_write(&req->write, (uv_stream_t *)&call->tcp, &buffer, 1,
-		     on_written) < 0)
+		     on_written) < 0) {
+		call->callers->unsent -= size;
 		g_free(req);
+	}
 }
 
 static void finish_request(call_t *call)
@@ -176,6 +224,7 @@
 	call->callers->active--;
 	call->state = CALLER_READING;
 	call->active_at = now_of(call);
+	call->is_congested = FALSE;
 	g_byte_array_set_size(call->body, 0);
 	/*
 	 * An answer that began before the stop has not sent "Connection:
@@ -476,8 +525,7 @@
 	const route_limits_t *limits = limits_of(call->callers);
 	ms_t silent = now - call->active_at;
 
-	if (uv_stream_get_write_queue_size((const uv_stream_t *)&call->tcp) >
-	    UNSENT_MAX_BYTES)
+	if (queue_size(call) > UNSENT_MAX_BYTES)
 		return TRUE;
 	if (call->state != CALLER_READING)
 		return FALSE;
@@ -561,3 +609,8 @@
 {
 	return callers->active;
 }
+
+size_t callers_unsent(const callers_t *callers)
+{
+	return callers->unsent;
+}
--- a/lib/front/caller.h
+++ b/lib/front/caller.h
@@ -29,6 +29,8 @@
 	void (*on_request)(void *ctx, call_t *call);
 	/* The caller disconnected before the end of the answer. */
 	void (*on_gone)(void *ctx, call_t *call);
+	/* The call is congested no more; see call_is_congested(). */
+	void (*on_drained)(void *ctx, call_t *call);
 	/* Returns the limits in force, or NULL for the defaults. */
 	const route_limits_t *(*limits)(void *ctx);
 } callers_events_t;
@@ -39,6 +41,7 @@
 	const char *address;	 /* an IPv4 address */
 	int port;		 /* 0 for any free port */
 	guint connections_max;	 /* further connections are closed at once */
+	size_t unsent_max;	 /* bytes queued for all callers together */
 } callers_options_t;
 
 /* Returns NULL and sets ERROR_UNAVAILABLE if it can't listen at the address. */
@@ -52,6 +55,8 @@
 void callers_close_idle(callers_t *callers);
 /* Number of requests that have not ended. */
 guint callers_active(const callers_t *callers);
+/* Bytes that are queued for callers. */
+size_t callers_unsent(const callers_t *callers);
 
 const http1_head_t *call_head(const call_t *call);
 const char *call_body(const call_t *call, size_t *size);
@@ -74,6 +79,12 @@
  */
 void call_begin(call_t *call, const http1_head_t *answer, int64_t size);
 void call_write(call_t *call, const char *data, size_t size);
+/*
+ * Returns whether the caller reads more slowly than its answer arrives, and
+ * more of it would use too much memory.  If so, on_drained() follows, unless
+ * the answer ends before.
+ */
+gboolean call_is_congested(call_t *call);
 void call_end(call_t *call);
 
 /*
--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -15,6 +15,11 @@
 
 /* Largest event of a stream; those of engines hold a few tokens. */
 #define EVENT_MAX_BYTES (64 * 1024)
+/* The same while too much memory is used for answers. */
+#define EVENT_SHORT_OF_MEMORY_BYTES (4 * 1024)
+
+/* Largest body of an answer; a larger one is taken for one without end. */
+#define ANSWER_MAX_BYTES (64 * 1024 * 1024)
 
 static gboolean on_head(void *ctx, const http1_head_t *head)
 {
@@ -110,6 +115,27 @@
 	return 0;
 }
 
+/* Whether too much memory is used for answers on their way to callers. */
+static gboolean is_short_of_memory(const front_t *front)
+{
+	return front->answers_kept + callers_unsent(front->callers) >
+	       front->answers_max;
+}
+
+/* Counts the bytes of the attempt that are not relayed yet. */
+static void note_kept(forward_t *forward, size_t kept)
+{
+	forward->front->answers_kept += kept - forward->attempt.kept;
+	forward->attempt.kept = kept;
+}
+
+/* Lets the endpoint wait while the caller reads more slowly than it writes. */
+static void wait_for_caller(forward_t *forward)
+{
+	if (call_is_congested(forward->call))
+		exchange_pause(forward->attempt.exchange);
+}
+
 /*
  * Relays complete events only, so that the stream can be resumed at another
  * endpoint; and no head before the first of them, so that until then the
@@ -128,7 +154,10 @@
 		call_write(forward->call, event->str, length);
 		g_string_erase(event, 0, (gssize)length);
 	}
-	return event->len <= EVENT_MAX_BYTES;
+	note_kept(forward, event->len);
+	return event->len <= (is_short_of_memory(forward->front)
+				      ? EVENT_SHORT_OF_MEMORY_BYTES
+				      : EVENT_MAX_BYTES);
 }
 
 static void record_gap(forward_t *forward)
@@ -173,20 +202,26 @@
 	GByteArray *buffered = forward->attempt.buffered;
 
 	g_byte_array_append(buffered, (const guint8 *)data, (guint)size);
-	if (buffered->len <= BUFFERED_MAX_BYTES)
+	note_kept(forward, buffered->len);
+	if (buffered->len <= BUFFERED_MAX_BYTES &&
+	    !is_short_of_memory(forward->front))
 		return TRUE;
 	if (!is_success(forward) || !is_valid_success(forward))
 		return FALSE;
 	begin_answer(forward, -1);
 	call_write(forward->call, (const char *)buffered->data, buffered->len);
+	g_byte_array_unref(buffered);
+	forward->attempt.buffered = g_byte_array_new();
+	note_kept(forward, 0);
 	return TRUE;
 }
 
-static gboolean on_data(void *ctx, const char *data, size_t size)
+/* Returns FALSE if no more of the answer is wanted. */
+static gboolean relay_data(forward_t *forward, const char *data, size_t size)
 {
-	forward_t *forward = ctx;
-
-	record_gap(forward);
+	forward->attempt.received += size;
+	if (forward->attempt.received > ANSWER_MAX_BYTES)
+		return FALSE;
 	if (forward->is_stream && is_success(forward) &&
 	    is_valid_success(forward))
 		return relay_stream(forward, data, size);
@@ -197,6 +232,26 @@
 	return TRUE;
 }
 
+static gboolean on_data(void *ctx, const char *data, size_t size)
+{
+	forward_t *forward = ctx;
+
+	record_gap(forward);
+	if (!relay_data(forward, data, size)) {
+		counter_add(forward->front->cut_answers, 1);
+		log_warn("answer cut", "endpoint",
+			 fleet_endpoint_id(forward->endpoint), "id",
+			 forward->fields.id, "why",
+			 is_short_of_memory(forward->front)
+				 ? "too much memory is used for answers"
+				 : "too large",
+			 NULL);
+		return FALSE;
+	}
+	wait_for_caller(forward);
+	return TRUE;
+}
+
 /* Relays an answer that is complete. */
 static void relay_answer(forward_t *forward)
 {
--- a/lib/front/forward_end.c
+++ b/lib/front/forward_end.c
@@ -32,7 +32,7 @@
 }
 
 /* Bytes of a cancelled exchange that arrive later reach nobody. */
-static void end_attempt(attempt_t *attempt)
+static void end_attempt(front_t *front, attempt_t *attempt)
 {
 	if (attempt->exchange)
 		exchange_cancel(attempt->exchange);
@@ -41,13 +41,16 @@
 	memset(&attempt->answer, 0, sizeof(attempt->answer));
 	g_byte_array_set_size(attempt->buffered, 0);
 	g_string_truncate(attempt->partial_event, 0);
+	front->answers_kept -= attempt->kept;
+	attempt->kept = 0;
+	attempt->received = 0;
 	attempt->is_inside_event = FALSE;
 	memset(attempt->tail, 0, sizeof(attempt->tail));
 }
 
 void forward_release_endpoint(forward_t *forward)
 {
-	end_attempt(&forward->attempt);
+	end_attempt(forward->front, &forward->attempt);
 	release_admission(forward);
 	if (!forward->endpoint)
 		return;
@@ -175,6 +178,12 @@
 	call_end(call);
 }
 
+void forward_on_caller_drained(forward_t *forward)
+{
+	if (forward->attempt.exchange)
+		exchange_resume(forward->attempt.exchange);
+}
+
 void forward_on_caller_gone(forward_t *forward)
 {
 	counter_add(forward->front->gone, 1);
--- a/lib/front/forward_private.h
+++ b/lib/front/forward_private.h
@@ -61,6 +61,8 @@
 	response_fields_t answer;
 	GByteArray *buffered;	/* body of an answer that is no stream */
 	GString *partial_event; /* incomplete event of a resumable stream */
+	size_t received;	/* bytes of the body */
+	size_t kept;		/* those of them that are not relayed yet */
 	/* Of a stream: its last bytes end no event. */
 	gboolean is_inside_event;
 	char tail[2]; /* its last bytes but for carriage returns */
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -50,6 +50,11 @@
 
 #define BYTES_PER_S_OF_MBPS (1e6 / 8)
 
+/* Part of the memory for answers on their way to callers. */
+#define ANSWERS_MEMORY_PERCENT 20
+
+#define BYTES_PER_MB 1e6
+
 /* Largest request body at the ready and metrics ports. */
 #define STATUS_BODY_MAX 4096
 
@@ -103,6 +108,8 @@
 		 "38700", 1, 100000000},
 		{"link_mbps", SETTING_NUMBER, &settings->link_mbps, "10", 1,
 		 1000000},
+		{"memory_mb", SETTING_NUMBER, &settings->memory_mb, "160", 32,
+		 1000000},
 		{"log_lines_max", SETTING_INT, &settings->log_lines_max, "200",
 		 1, 100000},
 		{NULL, SETTING_INT, NULL, NULL, 0, 0}};
@@ -121,6 +128,11 @@
 	forward_on_caller_gone(call_data(call));
 }
 
+static void on_drained(void *ctx, call_t *call)
+{
+	forward_on_caller_drained(call_data(call));
+}
+
 static const route_limits_t *limits_in_force(void *ctx)
 {
 	front_t *front = ctx;
@@ -247,11 +259,12 @@
 
 static gboolean start_listeners(front_t *front, GError **error)
 {
-	static const callers_events_t events = {on_request, on_gone,
+	static const callers_events_t events = {on_request, on_gone, on_drained,
 						limits_in_force};
 	callers_options_t options = {
 		.loop = process_loop(front->process),
 		.clock = front->clock,
+		.unsent_max = front->answers_max,
 		.connections_max = (guint)(front->settings.descriptors -
 					   DESCRIPTORS_RESERVED) /
 				   2,
@@ -410,6 +423,7 @@
 	front->quiet = counter_get("hc_endpoints_asked_quiet_total");
 	front->limited = counter_get("hc_endpoints_named_limit_total");
 	front->parts_held = counter_get("hc_prompt_parts_held_total");
+	front->cut_answers = counter_get("hc_answers_cut_total");
 	front->first_byte_time = histogram_get("hc_first_byte_ms");
 	front->load_wait_time = histogram_get("hc_adapter_wait_ms");
 }
@@ -437,6 +451,8 @@
 	front->clock = process_clock(process);
 	front->rand = process_rand(process);
 	TAILQ_INIT(&front->forwards);
+	front->answers_max = (size_t)(front->settings.memory_mb * BYTES_PER_MB *
+				      ANSWERS_MEMORY_PERCENT / 100);
 	front->versions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	front_create_removals(front);
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -63,6 +63,7 @@
 	int64_t adapter_loads_percent;
 	int64_t prefill_per_s; /* prompt tokens an engine processes */
 	double link_mbps;      /* bandwidth of the instance's own link */
+	double memory_mb;      /* that the process may use */
 	int64_t log_lines_max; /* per second, for one event */
 } front_settings_t;
 
@@ -97,6 +98,9 @@
 	ms_t stopped_at; /* 0 before the planned stop */
 	ms_t settings_changed_at;
 	struct forward_list forwards;
+	/* Bytes of answers that are kept until they are relayed. */
+	size_t answers_kept;
+	size_t answers_max; /* of them and of those queued for callers */
 	/* Adapter to the time when a replica was last requested. */
 	GHashTable *replica_requests;
 	GHashTable *admissions; /* admission_id_t to the forward_t that waits */
@@ -110,6 +114,7 @@
 	counter_t *leaving; /* endpoints that said so */
 	counter_t *quiet;   /* times that endpoints asked for it */
 	counter_t *limited; /* times that an endpoint began to name a limit */
+	counter_t *cut_answers; /* too large, or with memory short */
 	histogram_t *first_byte_time;
 	histogram_t *load_wait_time;
 };
@@ -180,6 +185,8 @@
 /* forward.c: forwards a request from its caller to an endpoint. */
 void forward_begin(front_t *front, call_t *call);
 void forward_on_caller_gone(forward_t *forward);
+/* The caller has read what was queued for it. */
+void forward_on_caller_drained(forward_t *forward);
 
 /* Replies to an admission request. */
 void forward_on_admitted(front_t *front, admission_id_t admission,
--- a/lib/front/link.c
+++ b/lib/front/link.c
@@ -9,9 +9,12 @@
 #include "base/counter.h"
 #include "base/log.h"
 
-/* Size of one read. */
+/* Size of one read; a connection with more to read lets others go first. */
 #define READ_SIZE (16 * 1024)
 
+/* Largest head of an answer, with those of interim responses before it. */
+#define HEAD_MAX_BYTES (32 * 1024)
+
 /* A connection takes 5 ms; a lost SYN is sent again after one second. */
 #define CONNECT_MS 400
 
@@ -58,6 +61,7 @@
 	gboolean is_written;   /* the request was written completely */
 	gboolean is_rejected;  /* the owner rejected the answer */
 	gboolean is_reading;   /* http1_reader is running */
+	gboolean is_paused;    /* by the owner */
 } link_t;
 
 TAILQ_HEAD(link_list, link);
@@ -301,6 +305,10 @@
 	} else {
 		link->state = LINK_IDLE;
 		link->is_fresh = FALSE;
+		if (link->is_paused)
+			uv_read_start((uv_stream_t *)&link->tcp, on_alloc,
+				      on_read);
+		link->is_paused = FALSE;
 		TAILQ_INSERT_HEAD(&pool->idle, link, entry);
 		uv_timer_start(&link->timer, on_idle_timeout,
 			       (uint64_t)link->idle_timeout, 0);
@@ -343,6 +351,22 @@
 	return recv(fd, &byte, 1, MSG_DONTWAIT) != 0;
 }
 
+static void on_turn(uv_timer_t *timer)
+{
+	link_t *link = timer->data;
+
+	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
+}
+
+/* Goes on reading once the other handles of the loop have had their turn. */
+static void yield_turn(link_t *link)
+{
+	if (link->state != LINK_BUSY || link->is_paused)
+		return;
+	uv_read_stop((uv_stream_t *)&link->tcp);
+	uv_timer_start(&link->timer, on_turn, 0, 0);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
 {
 	link_t *link = stream->data;
@@ -362,6 +386,8 @@
 	}
 	if (size > 0) {
 		consume_bytes(link, buffer->base, (size_t)size);
+		if (size == READ_SIZE)
+			yield_turn(link);
 		return;
 	}
 	link->is_reading = TRUE;
@@ -458,7 +484,8 @@
 	link->state = LINK_CONNECTING;
 	link->is_fresh = TRUE;
 	link->handles = 2;
-	link->reader = http1_reader_create(HTTP1_RESPONSES, 0, &events, link);
+	link->reader = http1_reader_create(HTTP1_RESPONSES, HEAD_MAX_BYTES,
+					   &events, link);
 	uv_tcp_init(links->options.loop, &link->tcp);
 	uv_timer_init(links->options.loop, &link->timer);
 	link->tcp.data = link;
@@ -570,6 +597,25 @@
 	exchange->link->closes_after = TRUE;
 }
 
+void exchange_pause(exchange_t *exchange)
+{
+	link_t *link = exchange->link;
+
+	link->is_paused = TRUE;
+	uv_read_stop((uv_stream_t *)&link->tcp);
+	uv_timer_stop(&link->timer);
+}
+
+void exchange_resume(exchange_t *exchange)
+{
+	link_t *link = exchange->link;
+
+	if (!link || !link->is_paused)
+		return;
+	link->is_paused = FALSE;
+	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
+}
+
 void exchange_cancel(exchange_t *exchange)
 {
 	link_t *link = exchange->link;
--- a/lib/front/link.h
+++ b/lib/front/link.h
@@ -13,6 +13,9 @@
  * again gets another connection than it had before, as its id would not tell
  * its answers apart.
  *
+ * Of each connection a limited number of bytes is read before the others have
+ * their turn, so that an answer without end holds up no other.
+ *
  * on_end() is called exactly once unless the exchange is cancelled.
  */
 
@@ -72,6 +75,13 @@
 /* Sets the idle timeout that the endpoint stated for this connection. */
 void exchange_set_idle(exchange_t *exchange, ms_t idle);
 
+/*
+ * Reads no more of the answer until exchange_resume(), so that the endpoint has
+ * to wait.  A connection that closes meanwhile is noticed afterwards.
+ */
+void exchange_pause(exchange_t *exchange);
+void exchange_resume(exchange_t *exchange);
+
 /* Closes the connection; no callback follows. */
 void exchange_cancel(exchange_t *exchange);
 
--- a/t/unit/test-http-client.c
+++ b/t/unit/test-http-client.c
@@ -20,7 +20,9 @@
 	http_client_t *client;
 	uv_tcp_t listener;
 	int port;
-	const char *answer; /* of the server, after which it closes */
+	const char *answer;  /* of the server, after which it closes */
+	gboolean is_endless; /* the answer is written again and again */
+	size_t written;
 	int ended;
 	int kind; /* of the last call's error, or -1 */
 	int status;
@@ -56,22 +58,38 @@
 		uv_close((uv_handle_t *)&peer->tcp, on_peer_closed);
 }
 
+static void on_answered(uv_write_t *write, int status);
+
+static void peer_answer(peer_t *peer)
+{
+	fixture_t *fixture = peer->fixture;
+	uv_buf_t bytes = uv_buf_init((char *)fixture->answer,
+				     (unsigned int)strlen(fixture->answer));
+
+	fixture->written += bytes.len;
+	uv_write(&peer->write, (uv_stream_t *)&peer->tcp, &bytes, 1,
+		 on_answered);
+}
+
 static void on_answered(uv_write_t *write, int status)
 {
-	peer_close(write->data);
+	peer_t *peer = write->data;
+
+	if (status == 0 && peer->fixture->is_endless &&
+	    !uv_is_closing((uv_handle_t *)&peer->tcp))
+		peer_answer(peer);
+	else
+		peer_close(peer);
 }
 
 static void on_request(uv_stream_t *stream, ssize_t size,
 		       const uv_buf_t *buffer)
 {
 	peer_t *peer = stream->data;
-	const char *answer = peer->fixture->answer;
-	uv_buf_t bytes =
-		uv_buf_init((char *)answer, (unsigned int)strlen(answer));
 
 	uv_read_stop(stream);
 	if (size > 0)
-		uv_write(&peer->write, stream, &bytes, 1, on_answered);
+		peer_answer(peer);
 	else if (size < 0)
 		peer_close(peer);
 }
@@ -215,11 +233,41 @@
 	end(&fixture);
 }
 
+/* Guards against keeping the bytes of a head without end. */
+static void test_head_without_end(void **state)
+{
+	char *filler = g_strnfill(64 * 1024, 'x');
+	char *head = g_strconcat("HTTP/1.1 200 OK\r\nX: ", filler, NULL);
+	fixture_t fixture;
+	int i;
+
+	begin(&fixture);
+	fixture.is_endless = TRUE;
+	for (i = 0; i < 2; i++) {
+		fixture.answer = i ? filler : head;
+		fixture.written = 0;
+		start_call(&fixture, "127.0.0.1", fixture.port, TRUE);
+		run_call(&fixture);
+		assert_int_not_equal(fixture.kind, -1);
+		/* With what the sockets' buffers hold. */
+		assert_true(fixture.written < 16 * 1024 * 1024);
+	}
+	fixture.is_endless = FALSE;
+	fixture.answer = DONE;
+	start_call(&fixture, "127.0.0.1", fixture.port, TRUE);
+	run_call(&fixture);
+	assert_string_equal(fixture.body, "done");
+	end(&fixture);
+	g_free(head);
+	g_free(filler);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unreachable_address),
 		cmocka_unit_test(test_body_of_interim),
+		cmocka_unit_test(test_head_without_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/t/unit/test-link.c
+++ b/t/unit/test-link.c
@@ -416,6 +416,60 @@
 	end(&fixture);
 }
 
+/* A head without end ends the exchange; its size is bounded. */
+static void test_head_without_end(void **state)
+{
+	char *filler = g_strnfill(40000, 'x');
+	char *head = g_strconcat("HTTP/1.1 200 OK\r\nX: ", filler, NULL);
+	fixture_t fixture;
+
+	begin(&fixture);
+	assert_int_equal(exchange(&fixture, head, END_OPEN), LINK_BROKEN);
+	assert_non_null(strstr(fixture.why, "larger than"));
+	end(&fixture);
+	g_free(head);
+	g_free(filler);
+}
+
+/*
+ * Guards against an answer that arrives although its owner has no room for it,
+ * and against one that stays paused.
+ */
+static void test_paused(void **state)
+{
+	char *filler = g_strnfill(4 * 1024 * 1024, 'x');
+	char *answer = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(filler), filler);
+	exchange_t *open;
+	fixture_t fixture;
+	gsize paused_at;
+	int i;
+
+	begin(&fixture);
+	fixture.answer = answer;
+	open = send_request(&fixture, fixture.port);
+	while (!fixture.body->len)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	exchange_pause(open);
+	paused_at = fixture.body->len;
+	for (i = 0; i < 100; i++)
+		uv_run(&fixture.loop, UV_RUN_NOWAIT);
+	assert_int_equal(fixture.body->len, paused_at);
+	exchange_resume(open);
+	while (!fixture.ended)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	assert_int_equal(fixture.result, LINK_COMPLETE);
+	assert_int_equal(fixture.body->len, strlen(filler));
+	/* The connection is used again. */
+	assert_int_equal(exchange(&fixture, WITH_LENGTH, END_OPEN),
+			 LINK_COMPLETE);
+	assert_int_equal(fixture.accepted, 1);
+	end(&fixture);
+	g_free(answer);
+	g_free(filler);
+}
+
 /* Cancelling an exchange closes its connection at once. */
 static void test_cancelled(void **state)
 {
@@ -447,6 +501,8 @@
 		cmocka_unit_test(test_not_sent),
 		cmocka_unit_test(test_unreachable_address),
 		cmocka_unit_test(test_resent_request),
+		cmocka_unit_test(test_head_without_end),
+		cmocka_unit_test(test_paused),
 		cmocka_unit_test(test_cancelled),
 	};
 
