front: refuse what may outlast a planned stop, answer what is left

Requests that came late in a planned stop, on connections that were still sending them, were taken and passed on; what was left at the end of the grace was cut without an answer, also what may not be repeated.

From 2.5 s after SIGTERM on, when the platform has had time to notice, a request is taken only if its time is over before the process ends, and refused at once otherwise. At the end of the grace each request that is left gets its answer, 502 or 503, before the process ends.

--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -443,5 +443,11 @@
 	}
 	forward = forward_create(front, call, route);
 	call_set_data(call, forward);
+	if (front_may_end_during(front,
+				 forward->deadline_at - forward_now(forward))) {
+		forward->failure_reason = "planned stop";
+		forward_refuse(forward, RETRY_STOPPING_MS);
+		return;
+	}
 	forward_dispatch(forward);
 }
--- a/lib/front/forward_end.c
+++ b/lib/front/forward_end.c
@@ -178,6 +178,20 @@
 	call_end(call);
 }
 
+gboolean forward_end_all(front_t *front)
+{
+	gboolean has_any = !TAILQ_EMPTY(&front->forwards);
+	forward_t *forward;
+
+	while ((forward = TAILQ_FIRST(&front->forwards))) {
+		forward->failure_reason = "end of the planned stop";
+		if (forward->state == FORWARD_SENT)
+			forward->may_have_run = TRUE;
+		forward_fail(forward);
+	}
+	return has_any;
+}
+
 void forward_on_caller_drained(forward_t *forward)
 {
 	if (forward->attempt.exchange)
--- a/lib/front/forward_private.h
+++ b/lib/front/forward_private.h
@@ -22,6 +22,8 @@
  * five retries.
  */
 #define RETRY_NO_ENDPOINT_MS 400
+/* Retry-After of an instance that stops: another one can serve at once. */
+#define RETRY_STOPPING_MS 50
 /*
  * Retry-After when an endpoint was full or an adapter had no slot: about the
  * duration of one load.
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -490,12 +490,24 @@
 	return TRUE;
 }
 
+static ms_t front_grace(const front_t *front)
+{
+	return (ms_t)(front->settings.grace_s * MS_PER_S) - GRACE_MARGIN_MS;
+}
+
+gboolean front_may_end_during(const front_t *front, ms_t time)
+{
+	ms_t passed = ms_clock_now(front->clock) - front->stopped_at;
+
+	return front->stopped_at && passed >= ROTATION_MS &&
+	       passed + time > front_grace(front);
+}
+
 static void on_stop_check(uv_timer_t *timer)
 {
 	front_t *front = timer->data;
 	ms_t passed = ms_clock_now(front->clock) - front->stopped_at;
-	ms_t grace =
-		(ms_t)(front->settings.grace_s * MS_PER_S) - GRACE_MARGIN_MS;
+	ms_t grace = front_grace(front);
 	gboolean is_done = !callers_active(front->callers) &&
 			   adapters_is_stopped(front->adapters);
 
@@ -503,6 +515,9 @@
 		callers_close_idle(front->callers);
 	if (passed < grace && (passed < ROTATION_MS || !is_done))
 		return;
+	/* The answers are sent before the process ends. */
+	if (forward_end_all(front))
+		return;
 	log_info("stopped", "reason", is_done ? "done" : "grace time expired",
 		 NULL);
 	process_end(front->process);
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -182,9 +182,20 @@
 /* Tells an instance what endpoints have said here. */
 void front_tell_endpoint_news(front_t *front, const char *instance);
 
+/*
+ * Whether the instance may end within this time, in a planned stop that callers
+ * have had time to notice.
+ */
+gboolean front_may_end_during(const front_t *front, ms_t time);
+
 /* forward.c: forwards a request from its caller to an endpoint. */
 void forward_begin(front_t *front, call_t *call);
 void forward_on_caller_gone(forward_t *forward);
+/*
+ * Ends all requests, at the end of a planned stop.  Returns whether there were
+ * any.
+ */
+gboolean forward_end_all(front_t *front);
 /* The caller has read what was queued for it. */
 void forward_on_caller_drained(forward_t *forward);
 
