t: cut off answers at each byte of head and body

From other operators: a server that stopped in the middle of a head and closed made clients get a 200 with an empty or short body, framed as whole. It does not happen here: test-link and test-http-client end an answer after each of its bytes, with a length, in chunks, after an interim response and without a length.

--- a/t/unit/test-http-client.c
+++ b/t/unit/test-http-client.c
@@ -233,6 +233,27 @@
 	end(&fixture);
 }
 
+/* Guards against an answer that is cut off and passes as whole: at each byte.
+ */
+static void test_cut_at_each_byte(void **state)
+{
+	fixture_t fixture;
+	size_t size;
+
+	begin(&fixture);
+	for (size = 0; size <= strlen(DONE); size++) {
+		char *cut = g_strndup(DONE, size);
+
+		fixture.answer = cut;
+		start_call(&fixture, "127.0.0.1", fixture.port, TRUE);
+		run_call(&fixture);
+		assert_int_equal(fixture.kind,
+				 size < strlen(DONE) ? ERROR_INTERRUPTED : -1);
+		g_free(cut);
+	}
+	end(&fixture);
+}
+
 /* Guards against keeping the bytes of a head without end. */
 static void test_head_without_end(void **state)
 {
@@ -267,6 +288,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_unreachable_address),
 		cmocka_unit_test(test_body_of_interim),
+		cmocka_unit_test(test_cut_at_each_byte),
 		cmocka_unit_test(test_head_without_end),
 	};
 
--- a/t/unit/test-link.c
+++ b/t/unit/test-link.c
@@ -298,6 +298,45 @@
 	end(&fixture);
 }
 
+/*
+ * Guards against an answer that is cut off in its head, or in a body with a
+ * length or chunks, and passes as whole: at each byte.
+ */
+static void test_cut_at_each_byte(void **state)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 3\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+		"Connection: close\r\n\r\n",
+		"HTTP/1.0 200 OK\r\n\r\n",
+	};
+	static const char *const bodies[] = {"abc", "3\r\nabc\r\n0\r\n\r\n",
+					     "abc", "abc"};
+	fixture_t fixture;
+	guint i;
+
+	begin(&fixture);
+	for (i = 0; i < G_N_ELEMENTS(heads); i++) {
+		char *whole = g_strconcat(heads[i], bodies[i], NULL);
+		/* Without a length the end of the connection ends it. */
+		size_t shortest = i < 2 ? strlen(whole) : strlen(heads[i]);
+		size_t size;
+
+		for (size = 0; size <= strlen(whole); size++) {
+			char *cut = g_strndup(whole, size);
+
+			assert_int_equal(exchange(&fixture, cut, END_CLOSED),
+					 size < shortest ? LINK_BROKEN
+							 : LINK_COMPLETE);
+			g_free(cut);
+		}
+		assert_string_equal(fixture.body->str, "abc");
+		g_free(whole);
+	}
+	end(&fixture);
+}
+
 static void test_rejected_head(void **state)
 {
 	fixture_t fixture;
@@ -496,6 +535,7 @@
 		cmocka_unit_test(test_extra_bytes),
 		cmocka_unit_test(test_answer_without_length),
 		cmocka_unit_test(test_incomplete_answer),
+		cmocka_unit_test(test_cut_at_each_byte),
 		cmocka_unit_test(test_rejected_head),
 		cmocka_unit_test(test_rejected_data),
 		cmocka_unit_test(test_not_sent),
