front: send nothing on to a server that has an engine's address

Cause: 421 counts as a missing adapter, which the request waits for; but the note of it changed nothing if a report had confirmed the adapter, so the holder admitted the request again at once. And an engine was up again as soon as anything answered at its address, if only with 400.

A missing adapter is admitted after the next report, or a short time. Reports name their engine, as orders do, and one that is refused shows that another server answers: the engine is down then.

--- a/lib/front/adapters_calls.c
+++ b/lib/front/adapters_calls.c
@@ -44,22 +44,28 @@
 	return service && service->model ? service->model : "";
 }
 
-/* Records whether a call reached the engine. */
-static void note_reachability(held_engine_t *held, ms_t now,
-			      const GError *error)
+static void set_down(held_engine_t *held, ms_t now, const char *why)
 {
-	gboolean is_down = error && error_kind(error) == ERROR_UNAVAILABLE;
-
-	if (is_down)
-		held->next_call_at = now + DOWN_RETRY_MS;
-	if (is_down == held->is_down)
+	held->next_call_at = now + DOWN_RETRY_MS;
+	if (held->is_down)
 		return;
-	held->is_down = is_down;
-	log_info(is_down ? "engine unreachable" : "engine reachable again",
-		 "endpoint", held->id, "error", error ? error->message : "",
+	held->is_down = TRUE;
+	log_info("engine unreachable", "endpoint", held->id, "error", why,
 		 NULL);
 }
 
+/* Records whether a call reached the engine. */
+static void note_reachability(held_engine_t *held, ms_t now, int status,
+			      const GError *error)
+{
+	if (error && error_kind(error) == ERROR_UNAVAILABLE) {
+		set_down(held, now, error->message);
+	} else if (held->is_down && !engine_may_be_another(status)) {
+		held->is_down = FALSE;
+		log_info("engine reachable again", "endpoint", held->id, NULL);
+	}
+}
+
 /*
  * Passed on once the call has ended: requests may move to other engines then.
  */
@@ -95,7 +101,7 @@
 	char *text = g_strdup_printf("%d", status);
 
 	held->order = NULL;
-	note_reachability(held, now, error);
+	note_reachability(held, now, status, error);
 	histogram_add(adapters->order_time, now - held->ordered_at);
 	/* If nothing was sent, the order is sent again after a report. */
 	if (!error)
@@ -118,7 +124,7 @@
 		adapters->engine_locks, adapters->now,
 		lease_valid_until(adapters->lease), held->id);
 	http_header_t headers[] = {{"content-type", "application/json"},
-				   engine_order_header(held->id),
+				   engine_expect_header(held->id),
 				   {NULL, NULL}};
 	char *body;
 	char *text;
@@ -162,11 +168,17 @@
 	GError *fault = NULL;
 
 	held->report = NULL;
-	note_reachability(held, now_of(adapters), error);
+	/* An engine refuses an order that is wrong, but never a report. */
+	if (!error && engine_may_be_another(status))
+		set_down(held, now_of(adapters),
+			 "another server answers at its address");
+	else
+		note_reachability(held, now_of(adapters), status, error);
 	note_answer(held, &held->report_notice, held->reported_at, error);
 	if (error || status != 200) {
 		adapter_cache_handle_report(held->cache, now_of(adapters),
 					    NULL);
+		held_engine_advance(held, now_of(adapters));
 		return;
 	}
 	if (engine_parse_report(body, size, model_of(held), &report, &fault)) {
@@ -189,11 +201,14 @@
 {
 	held_engine_t *held = ctx;
 	adapters_t *adapters = held->adapters;
+	http_header_t headers[] = {engine_expect_header(held->id),
+				   {NULL, NULL}};
 	http_call_request_t request = {
 		.host = fleet_endpoint_address(held->endpoint),
 		.port = fleet_endpoint_port(held->endpoint),
 		.method = "GET",
 		.path = engine_report_path(),
+		.headers = headers,
 		.timeout = ORDER_TIMEOUT_MS,
 		.on_head = on_report_head,
 	};
--- a/lib/hold/adapter_cache.c
+++ b/lib/hold/adapter_cache.c
@@ -198,11 +198,10 @@
 
 	if (!entry || entry->state != STATE_RESIDENT)
 		return;
-	if (entry->is_presumed) {
+	if (entry->is_presumed)
 		cache_note_late_load(cache, entry);
-		entry->state = STATE_LOADING;
-		entry->ready_at = now + CACHE_LATE_RECHECK_MS;
-	}
+	entry->state = STATE_LOADING;
+	entry->ready_at = now + CACHE_LATE_RECHECK_MS;
 	cache->is_report_due = TRUE;
 	schedule_report(cache, now, 0);
 }
--- a/t/unit/test-hold.c
+++ b/t/unit/test-hold.c
@@ -306,8 +306,12 @@
 	assert_int_equal(adapter_cache_version(cache, "m/a"), 0);
 	report(cache, 400, 1, &confirmed, 1);
 	assert_int_equal(adapter_cache_version(cache, "m/a"), 1);
-	/* It was confirmed resident, and a report shows that it is gone. */
+	/*
+	 * It was confirmed resident, and a report shows that it is gone.
+	 * Guards against requests that are admitted again before the report.
+	 */
 	adapter_cache_note_missing(cache, 5000, "m/a");
+	assert_int_equal(adapter_cache_version(cache, "m/a"), 0);
 	adapter_cache_tick(cache, 5001, TRUE);
 	report(cache, 5003, 1, NULL, 0);
 	assert_int_equal(adapter_cache_version(cache, "m/a"), 0);
