t: close what the tests of the http client and the store opened

Both were the tests' own; the checks are as they were.

Its server keeps a list of its connections; both loops are closed.

--- a/t/unit/test-http-client.c
+++ b/t/unit/test-http-client.c
@@ -132,8 +132,9 @@
 	http_client_destroy(fixture->client);
 	uv_close((uv_handle_t *)&fixture->limit, NULL);
 	uv_close((uv_handle_t *)&fixture->listener, NULL);
-	g_free(fixture->body);
 	uv_run(&fixture->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&fixture->loop);
+	g_free(fixture->body);
 }
 
 static void on_done(void *ctx, int status, const char *body, size_t size,
--- a/t/unit/test-metadata-store.c
+++ b/t/unit/test-metadata-store.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <sys/queue.h>
 
 #include "base/error.h"
 #include "platform/metadata_store.h"
@@ -39,9 +40,11 @@
 	GString *values;
 	int64_t polled_to;
 	int ended;
+	TAILQ_HEAD(, peer) peers; /* open connections of the server */
 } fixture_t;
 
-typedef struct {
+typedef struct peer {
+	TAILQ_ENTRY(peer) link;
 	uv_tcp_t tcp;
 	uv_timer_t tick;
 	int handles;
@@ -73,6 +76,7 @@
 {
 	if (uv_is_closing((uv_handle_t *)&peer->tcp))
 		return;
+	TAILQ_REMOVE(&peer->fixture->peers, peer, link);
 	uv_close((uv_handle_t *)&peer->tcp, on_peer_closed);
 	uv_close((uv_handle_t *)&peer->tick, on_peer_closed);
 }
@@ -124,6 +128,7 @@
 	uv_timer_init(listener->loop, &peer->tick);
 	peer->tcp.data = peer;
 	peer->tick.data = peer;
+	TAILQ_INSERT_TAIL(&peer->fixture->peers, peer, link);
 	uv_accept(listener, (uv_stream_t *)&peer->tcp);
 	uv_read_start((uv_stream_t *)&peer->tcp, on_alloc, on_request);
 }
@@ -151,6 +156,7 @@
 	};
 
 	memset(fixture, 0, sizeof(*fixture));
+	TAILQ_INIT(&fixture->peers);
 	uv_loop_init(&fixture->loop);
 	uv_timer_init(&fixture->loop, &fixture->limit);
 	uv_timer_start(&fixture->limit, on_limit, LIMIT_MS, 0);
@@ -185,25 +191,18 @@
 	fixture->watch = NULL;
 }
 
-static void close_handle(uv_handle_t *handle, void *ctx)
-{
-	const fixture_t *fixture = ctx;
-
-	if (handle == (const uv_handle_t *)&fixture->listener ||
-	    handle == (const uv_handle_t *)&fixture->limit ||
-	    handle == (const uv_handle_t *)&fixture->timer)
-		uv_close(handle, NULL);
-	else if (handle->type == UV_TCP && !uv_is_closing(handle))
-		peer_close(handle->data);
-}
-
 static void end(fixture_t *fixture)
 {
 	if (fixture->watch)
 		kv_watch_cancel(fixture->kv, fixture->watch);
 	kv_destroy(fixture->kv);
-	uv_walk(&fixture->loop, close_handle, fixture);
-	uv_run(&fixture->loop, UV_RUN_NOWAIT);
+	while (!TAILQ_EMPTY(&fixture->peers))
+		peer_close(TAILQ_FIRST(&fixture->peers));
+	uv_close((uv_handle_t *)&fixture->listener, NULL);
+	uv_close((uv_handle_t *)&fixture->limit, NULL);
+	uv_close((uv_handle_t *)&fixture->timer, NULL);
+	uv_run(&fixture->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&fixture->loop);
 	g_free(fixture->answer);
 	g_string_free(fixture->values, TRUE);
 	g_rand_free(fixture->rand);
