--- a/review/lib-2/rv2.c
+++ b/review/lib-2/rv2.c
@@ -14,6 +14,8 @@
  *	rv2 heads ADDR:PORT CONNECTIONS REQUESTS PLAIN WORDS
  *		requests with PLAIN empty headers and a Connection header of WORDS
  *		options; WORDS of 0 sends headers of the same size without them
+ *	rv2 idle ADDR:PORT CONNECTIONS HOLD_MS
+ *		connections that each serve one request and are then kept open
  *	rv2 server ADDR KIND [OPTION=N...]
  *		a server; prints "listening PORT".  KIND is 'plain' or 'engine'.
  *		size: bytes of an answer but one for /big/BYTES; delay: ms before one under /write/; events, event_ms: of a
@@ -552,6 +554,33 @@
 	return 0;
 }
 
+static int run_idle(char **argv)
+{
+	int conns = atoi(argv[3]);
+	int fds[CONNS_MAX];
+	char id[64];
+	int served = 0;
+	int open = 0;
+	int i;
+
+	for (i = 0; i < conns && i < CONNS_MAX; i++) {
+		snprintf(id, sizeof(id), "i%d-%d", (int)getpid(), i);
+		fds[i] = connect_to(argv[2], 0);
+		if (fds[i] < 0)
+			continue;
+		open++;
+		if (!warm_up(fds[i], id))
+			break;
+		served++;
+	}
+	printf("idle connections %d served %d at %ld\n", open, served,
+	       now_ms());
+	fflush(stdout);
+	usleep((useconds_t)atol(argv[4]) * 1000);
+	printf("idle end at %ld\n", now_ms());
+	return 0;
+}
+
 typedef struct {
 	int fd;
 	text_t in;
@@ -920,6 +949,8 @@
 		return run_slow(argv);
 	if (argc >= 7 && !strcmp(argv[1], "heads"))
 		return run_heads(argv);
+	if (argc >= 5 && !strcmp(argv[1], "idle"))
+		return run_idle(argv);
 	if (argc >= 4 && !strcmp(argv[1], "server"))
 		return run_server(argc, argv);
 	fprintf(stderr, "usage: see review/lib-2/rv2.c\n");
