--- a/review/lib-2/common.sh
+++ b/review/lib-2/common.sh
@@ -125,14 +125,16 @@
 	put_item "servers/$1"
 }
 
-# The routes: resume and stream to the engines, write and read to the desk.
+# The routes: resume to the engines, write, big and read to the desk.  'write_config
+# VERSION plain' leaves out those to the engines.
 write_config () {
-	put_item op/config <<-END
-	{"version": 3, "routes": [
-	{"name": "resume", "host": "front.example", "prefix": "/resume/",
+	streams='{"name": "resume", "host": "front.example", "prefix": "/resume/",
 		"kind": "streaming", "service": "assist", "timeoutMs": 15000,
 		"goalMs": 1000, "gapTargetMs": 250, "priority": 0, "attempts": 2,
-		"resumable": true},
+		"resumable": true},'
+	test "$2" = plain && streams=
+	put_item op/config <<-END
+	{"version": ${1:-3}, "routes": [$streams
 	{"name": "write", "host": "front.example", "prefix": "/write/",
 		"kind": "non_idempotent", "service": "desk", "timeoutMs": 1000,
 		"goalMs": 150, "priority": 2, "attempts": 1},
--- a/review/lib-2/rv2.c
+++ b/review/lib-2/rv2.c
@@ -16,12 +16,15 @@
  *		options; WORDS of 0 sends headers of the same size without them
  *	rv2 idle ADDR:PORT CONNECTIONS HOLD_MS
  *		connections that each serve one request and are then kept open
+ *	rv2 leave ADDR:PORT COUNT METHOD PATH [HEADER...]
+ *		requests whose client closes its connection as soon as they are sent
  *	rv2 server ADDR KIND [OPTION=N...]
  *		a server; prints "listening PORT".  KIND is 'plain' or 'engine'.
  *		size: bytes of an answer but one for /big/BYTES; delay: ms before one under /write/; events, event_ms: of a
  *		stream; spoil_call, spoil, cut: each Nth answer to an order or report
  *		has a wrong Content-Length; each Nth stream has a wrong byte in the
- *		name of its signature; each Nth stream breaks off inside an event
+ *		name of its signature; each Nth stream breaks off inside an event.  An
+ *		engine rejects a request larger than its memory (100,000 tokens)
  *
  * Times in the output are in ms of the monotonic clock.
  */
@@ -554,6 +557,41 @@
 	return 0;
 }
 
+static int run_leave(int argc, char **argv)
+{
+	int count = atoi(argv[3]);
+	char line[512];
+	int n;
+	int i;
+
+	for (n = 0; n < count; n++) {
+		text_t text = {0};
+		int fd = connect_to(argv[2], 0);
+
+		if (fd < 0)
+			die("connect");
+		snprintf(line, sizeof(line),
+			 "%s %s HTTP/1.1\r\nHost: front.example\r\n"
+			 "X-Hawthorncross-Request-Id: l%d-%d\r\n"
+			 "Content-Length: 4\r\n",
+			 argv[4], argv[5], (int)getpid(), n);
+		add(&text, line);
+		for (i = 6; i < argc; i++) {
+			add(&text, argv[i]);
+			add(&text, "\r\n");
+		}
+		add(&text, "\r\nbody");
+		if (write(fd, text.data, text.size) < 0)
+			perror("rv2: write");
+		close(fd);
+		free(text.data);
+		printf("leave request l%d-%d sent and closed at %ld\n",
+		       (int)getpid(), n, now_ms());
+		usleep(200000);
+	}
+	return 0;
+}
+
 static int run_idle(char **argv)
 {
 	int conns = atoi(argv[3]);
@@ -734,6 +772,15 @@
 	server->answered++;
 }
 
+static int is_too_large(const char *head, const char *end)
+{
+	char value[128];
+
+	return find_header(head, end, "X-Hawthorncross-Token-Count", value,
+			   sizeof(value)) &&
+	       strtod(value, NULL) > 100000;
+}
+
 /* Handles the first request in conn->in; returns 0 if it is not complete. */
 static int handle_request(server_t *server, server_conn_t *conn)
 {
@@ -759,6 +806,15 @@
 			   sizeof(value));
 	if (!strncmp(line, "GET /report", 11) || !strncmp(line, "POST /order", 11)) {
 		answer_call(server, conn, end, line[0] == 'G');
+	} else if (server->is_engine && is_too_large(conn->in.data, end)) {
+		char head[256];
+
+		snprintf(head, sizeof(head),
+			 "HTTP/1.1 503 Full\r\nX-Hawthorncross-Request-Id: %s\r\n"
+			 "X-Hawthorncross-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+			 conn->id);
+		add(&conn->out, head);
+		printf("%ld not run %s\n", now_ms(), conn->id);
 	} else if (server->is_engine) {
 		begin_stream(server, conn, last);
 	} else {
@@ -949,6 +1005,8 @@
 		return run_slow(argv);
 	if (argc >= 7 && !strcmp(argv[1], "heads"))
 		return run_heads(argv);
+	if (argc >= 6 && !strcmp(argv[1], "leave"))
+		return run_leave(argc, argv);
 	if (argc >= 5 && !strcmp(argv[1], "idle"))
 		return run_idle(argv);
 	if (argc >= 4 && !strcmp(argv[1], "server"))
