--- a/review/lib-2/common.sh
+++ b/review/lib-2/common.sh
@@ -39,6 +39,11 @@
 		kill -KILL "$(cat "$work/$name.pid")" 2>/dev/null
 		wait "$(cat "$work/$name.pid")" 2>/dev/null
 	done
+	# Clients that are still at work, if the script ends early.
+	for process in $(jobs -p)
+	do
+		kill -KILL "$process" 2>/dev/null
+	done
 	rm -rf "$work"
 	exit "$code"
 }
