http: read all answers by one reader that has no assertion to fail

Cause: h2o's http1client asserts that a connection may not be kept when it refuses a head, after it has noted from HTTP/1.1 that it may. 15 of 33 odd heads ended the process on, each played to the client by itself, on new and kept connections alike, so neither the fields' reader nor the connection's history matters. The bytes of another process decided an assertion, and answers had two readers.

Change: http_client reads answers by http1_reader, as hc-front does those to callers' requests, over connections of its own (http_conn, with TLS for hcctl). An answer that is no valid message ends its call as sent and of unknown outcome, closes its connection, and is logged ("answer refused") and counted. The reader refuses a transfer coding other than "chunked", a status below 100, another major version and an empty line in place of a status, for answers to callers too. A body without a length that is reset is no longer taken as whole, nor two lengths that differ. standin-proxy can spoil the framing of answers.

--- a/cmd/hcctl.c
+++ b/cmd/hcctl.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/log.h"
 #include "base/version.h"
 #include "ctl/ctl.h"
 
@@ -123,6 +124,8 @@
 	int option;
 	int status;
 
+	/* Errors go to standard error, and standard output is the result. */
+	log_set_level(LOG_ERROR);
 	ctl.address = "127.0.0.1:7400";
 	ctl.generation = CTL_NO_GENERATION;
 	while ((option = getopt_long(argc, argv, "a:t:TA:g:n:ojhV", options,
--- a/lib/front/link.c
+++ b/lib/front/link.c
@@ -8,6 +8,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "http/tcp.h"
 
 /* Size of one read; a connection with more to read lets others go first. */
 #define READ_SIZE (16 * 1024)
@@ -352,17 +353,6 @@
 	}
 }
 
-/* libuv reports EOF after a partial read even if the connection was reset. */
-static gboolean was_reset(const link_t *link)
-{
-	uv_os_fd_t fd;
-	char byte;
-
-	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd) < 0)
-		return TRUE;
-	return recv(fd, &byte, 1, MSG_DONTWAIT) != 0;
-}
-
 static void on_turn(uv_timer_t *timer)
 {
 	link_t *link = timer->data;
@@ -403,7 +393,7 @@
 		return;
 	}
 	link->is_reading = TRUE;
-	is_whole = size == UV_EOF && !was_reset(link) &&
+	is_whole = size == UV_EOF && !tcp_was_reset(&link->tcp) &&
 		   http1_reader_finish(link->reader);
 	link->is_reading = FALSE;
 	if (!link->exchange) {
--- a/lib/http/http1_reader.c
+++ b/lib/http/http1_reader.c
@@ -40,7 +40,8 @@
 	gboolean is_done;
 	gboolean is_failed;
 	gboolean is_head_request;
-	int interims; /* responses before the final one */
+	int interims;	     /* responses before the final one */
+	const char *refusal; /* why a head that was parsed is invalid */
 };
 
 static void header_clear(gpointer data)
@@ -109,8 +110,10 @@
 	if (reader->is_head_done)
 		return 0;
 	/* http-parser accepts a space in a name; other parsers don't. */
-	if (strchr(reader->name->str, ' '))
+	if (strchr(reader->name->str, ' ')) {
+		reader->refusal = "a header's name contains a space";
 		return 1;
+	}
 	reader->is_value = TRUE;
 	g_string_append_len(reader->value, at, (gssize)size);
 	return add_head_size(reader, size);
@@ -123,15 +126,57 @@
 	       parser->status_code < STATUS_FINAL_MIN;
 }
 
+/*
+ * A response with a transfer coding other than "chunked", which no request
+ * asks for, can't be passed on: the coding's name ends with the connection.
+ */
+static gboolean has_unknown_coding(const http1_reader_t *reader)
+{
+	const GArray *headers = reader->head.headers;
+	guint codings = 0;
+	guint i;
+
+	for (i = 0; i < headers->len; i++) {
+		const http_header_t *header =
+			&g_array_index(headers, http_header_t, i);
+
+		if (g_ascii_strcasecmp(header->name, "transfer-encoding"))
+			continue;
+		if (codings++ || g_ascii_strcasecmp(header->value, "chunked"))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Returns what makes the head of a response invalid, or NULL. */
+static const char *head_refusal(http1_reader_t *reader)
+{
+	const http_parser *parser = &reader->parser;
+
+	if (reader->kind != HTTP1_RESPONSES)
+		return NULL;
+	if (parser->http_major != 1)
+		return "the version is not HTTP/1";
+	if (parser->status_code < STATUS_INTERIM_MIN)
+		return "the status is below 100";
+	if (has_unknown_coding(reader))
+		return "the transfer coding is not \"chunked\"";
+	if (!is_interim(parser))
+		return NULL;
+	/* No request asks for another protocol. */
+	if (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
+		return "another protocol";
+	return ++reader->interims > INTERIMS_MAX ? "too many interim responses"
+						 : NULL;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	http1_reader_t *reader = parser->data;
 
 	add_header(reader);
-	/* No request asks for another protocol. */
-	if (is_interim(parser) &&
-	    (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
-	     ++reader->interims > INTERIMS_MAX))
+	reader->refusal = head_refusal(reader);
+	if (reader->refusal)
 		return HEADERS_INVALID;
 	/*
 	 * An interim response has no body, whatever its headers say: the bytes
@@ -259,6 +304,7 @@
 	reader->is_failed = FALSE;
 	reader->is_head_request = is_head;
 	reader->interims = 0;
+	reader->refusal = NULL;
 }
 
 static void fail(http1_reader_t *reader, GError **error)
@@ -272,8 +318,10 @@
 	else
 		error_set(error, ERROR_PROTOCOL,
 			  "the bytes are no HTTP/1 message: %s",
-			  http_errno_description(
-				  HTTP_PARSER_ERRNO(&reader->parser)));
+			  reader->refusal
+				  ? reader->refusal
+				  : http_errno_description(HTTP_PARSER_ERRNO(
+					    &reader->parser)));
 }
 
 size_t http1_reader_feed(http1_reader_t *reader, const char *data, size_t size,
@@ -287,6 +335,13 @@
 		fail(reader, error);
 		return 0;
 	}
+	/* http-parser skips empty lines before a message. */
+	if (!reader->is_begun && reader->kind == HTTP1_RESPONSES &&
+	    (*data == '\r' || *data == '\n')) {
+		reader->refusal = "an empty line in place of a status";
+		fail(reader, error);
+		return 0;
+	}
 	reader->is_begun = TRUE;
 	read = http_parser_execute(&reader->parser, &settings, data, size);
 	if (reader->is_done) {
--- a/lib/http/http1_reader.h
+++ b/lib/http/http1_reader.h
@@ -7,10 +7,11 @@
  * It stops at the end of each message, so that the bytes that follow are never
  * parsed as part of it; http1_reader_feed() returns the number of bytes
  * consumed.  Interim responses (1xx) are skipped; they have no body, so that
-the bytes after their head are those of the next response.  It does no I/O.
+ * the bytes after their head are those of the next response.  It does no I/O.
  *
  * Errors: ERROR_TOO_LARGE for a head above the limit, ERROR_PROTOCOL for
- * malformed input, conflicting body lengths, or a switch to another protocol.
+ * malformed input, conflicting body lengths, a response with a transfer coding
+ * other than "chunked", or a switch to another protocol.
  */
 
 #include <glib.h>
--- a/lib/http/http_client.c
+++ b/lib/http/http_client.c
@@ -1,57 +1,59 @@
 #include "http/http_client.h"
 
-#include <h2o.h>
-#include <h2o/http1client.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/queue.h>
 
-/* A connection that is idle for this long during a call fails. */
-#define IO_TIMEOUT_MS 300000
+#include "base/counter.h"
+#include "base/log.h"
+#include "http/http1_reader.h"
+#include "http/http_conn.h"
 
-/* Pooled connections per address, and how long they are kept when idle. */
-#define POOL_CAPACITY	 256
-#define POOL_IDLE_MAX_MS 4000
-#define HEAD_FIELDS_MAX	 64
+/* How long an idle connection is kept, and how often that is checked. */
+#define IDLE_MAX_MS   4000
+#define IDLE_CHECK_MS 1000
 
-/*
- * A retired pool may be used again after this time: it has no connection left.
- * h2o closes idle ones up to a second late.
- */
-#define POOL_REUSE_MS (2 * POOL_IDLE_MAX_MS)
+/* Largest head of an answer, with those of interim responses before it. */
+#define HEAD_MAX_BYTES (32 * 1024)
 
-/* The connections to one address that calls may use again. */
-typedef struct {
-	h2o_socketpool_t sockets;
+/* A connection that calls use one after another. */
+typedef struct client_conn {
+	TAILQ_ENTRY(client_conn) entry; /* in a list of idle ones */
+	http_client_t *client;
+	http_conn_t *conn;
+	http_call_t *call; /* NULL if idle */
 	char *address;	   /* "host:port" */
-	guint calls;	   /* in progress on a connection of the pool */
-	uint64_t ended_at; /* loop time at which the last call ended */
-} pool_t;
+	guint generation;  /* the client's when it was opened */
+	uint64_t idle_at;  /* loop time since which it is idle */
+} client_conn_t;
+
+TAILQ_HEAD(conn_list, client_conn);
 
 struct http_client {
 	uv_loop_t *loop;
-	h2o_timeout_t io_timeout;
-	h2o_http1client_ctx_t ctx;
-	GHashTable *pools;	  /* from "host:port" to pool_t */
-	GPtrArray *retired_pools; /* serve no new calls */
+	uv_timer_t idle_timer; /* runs while a connection is idle */
+	/* From "host:port" to a list, which is not empty. */
+	GHashTable *idle;
+	guint generation; /* connections of former ones are not used again */
+	counter_t *invalid;
+	counter_t *extra;
 };
 
 struct http_call {
 	http_client_t *client;
-	pool_t *pool; /* NULL for a connection of its own */
-	h2o_http1client_t *conn;
+	client_conn_t *conn; /* NULL once the call has ended */
+	http1_reader_t *reader;
 	http_call_events_t events;
 	void *ctx;
-	char *text; /* the serialized request */
+	char *text; /* the serialized request, until it is sent */
 	size_t text_size;
-	h2o_iovec_t text_vec;
 	uv_timer_t timer;
 	ms_t answer_max;
 	ms_t pause_max;
 	uint64_t answer_due; /* loop time */
 	gboolean is_sent;
-	gboolean is_starting;	 /* http_call_start() has not returned */
-	gboolean is_in_callback; /* h2o closes the connection on return */
-	gboolean is_head_method;
+	gboolean is_fresh;
+	gboolean keeps_alive; /* as the answer's head says */
 	int status;
 	/* Used by http_call_buffered() only. */
 	GString *buffered;
@@ -61,106 +63,141 @@
 	void *whole_ctx;
 };
 
-static void pool_destroy(gpointer data)
+static void conn_free(client_conn_t *conn)
 {
-	pool_t *pool = data;
-
-	h2o_socketpool_dispose(&pool->sockets);
-	g_free(pool->address);
-	g_free(pool);
+	g_free(conn->address);
+	g_free(conn);
 }
 
-http_client_t *http_client_create(uv_loop_t *loop)
+static void conn_close(client_conn_t *conn)
 {
-	http_client_t *client = g_new0(http_client_t, 1);
+	http_conn_close(conn->conn);
+	conn_free(conn);
+}
 
-	/* A write to a closed connection must return an error instead. */
-	signal(SIGPIPE, SIG_IGN);
-	client->loop = loop;
-	h2o_timeout_init(loop, &client->io_timeout, IO_TIMEOUT_MS);
-	client->ctx.loop = loop;
-	client->ctx.io_timeout = &client->io_timeout;
-	client->pools =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	client->retired_pools = g_ptr_array_new_with_free_func(pool_destroy);
-	return client;
+/* Takes a connection out of its list of idle ones. */
+static void idle_remove(client_conn_t *conn)
+{
+	http_client_t *client = conn->client;
+	struct conn_list *list =
+		g_hash_table_lookup(client->idle, conn->address);
+
+	TAILQ_REMOVE(list, conn, entry);
+	if (TAILQ_EMPTY(list))
+		g_hash_table_remove(client->idle, conn->address);
+	if (!g_hash_table_size(client->idle))
+		uv_timer_stop(&client->idle_timer);
 }
 
-static void retire_pools(http_client_t *client)
+/* Closes connections that have been idle for at least this long. */
+static void close_idle(http_client_t *client, uint64_t min)
 {
+	struct conn_list closing = TAILQ_HEAD_INITIALIZER(closing);
+	uint64_t now = uv_now(client->loop);
 	GHashTableIter iter;
-	gpointer pool;
-
-	g_hash_table_iter_init(&iter, client->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &pool)) {
-		((pool_t *)pool)->ended_at = uv_now(client->loop);
-		g_ptr_array_add(client->retired_pools, pool);
+	gpointer value;
+	client_conn_t *conn;
+
+	g_hash_table_iter_init(&iter, client->idle);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct conn_list *list = value;
+
+		/* The one that was idle first is the last of its list. */
+		while ((conn = TAILQ_LAST(list, conn_list)) &&
+		       now - conn->idle_at >= min) {
+			TAILQ_REMOVE(list, conn, entry);
+			TAILQ_INSERT_TAIL(&closing, conn, entry);
+		}
+		if (TAILQ_EMPTY(list))
+			g_hash_table_iter_remove(&iter);
 	}
-	g_hash_table_remove_all(client->pools);
+	while ((conn = TAILQ_FIRST(&closing))) {
+		TAILQ_REMOVE(&closing, conn, entry);
+		conn_close(conn);
+	}
+	if (!g_hash_table_size(client->idle))
+		uv_timer_stop(&client->idle_timer);
 }
 
-void http_client_forget_connections(http_client_t *client)
+static void on_idle_timer(uv_timer_t *timer)
 {
-	retire_pools(client);
+	close_idle(timer->data, IDLE_MAX_MS);
 }
 
-void http_client_destroy(http_client_t *client)
+/* Keeps a connection whose call has ended for further ones. */
+static void idle_add(client_conn_t *conn)
 {
-	retire_pools(client);
-	g_ptr_array_free(client->retired_pools, TRUE);
-	g_hash_table_destroy(client->pools);
-	h2o_timeout_dispose(client->loop, &client->io_timeout);
-	g_free(client);
+	http_client_t *client = conn->client;
+	struct conn_list *list =
+		g_hash_table_lookup(client->idle, conn->address);
+
+	if (!list) {
+		list = g_new0(struct conn_list, 1);
+		TAILQ_INIT(list);
+		g_hash_table_insert(client->idle, g_strdup(conn->address),
+				    list);
+	}
+	conn->call = NULL;
+	conn->idle_at = uv_now(client->loop);
+	http_conn_set_referenced(conn->conn, FALSE);
+	TAILQ_INSERT_HEAD(list, conn, entry);
+	if (!uv_is_active((uv_handle_t *)&client->idle_timer))
+		uv_timer_start(&client->idle_timer, on_idle_timer,
+			       IDLE_CHECK_MS, IDLE_CHECK_MS);
 }
 
-/*
- * Returns a retired pool for the address that has no connection left, or NULL.
- * Pools are not freed before the client is: h2o closes their timers later.
- */
-static pool_t *take_retired_pool(http_client_t *client, const char *address)
+/* Returns a connection that was kept for the address, or NULL. */
+static client_conn_t *idle_take(http_client_t *client, const char *address)
 {
-	uint64_t now = uv_now(client->loop);
-	guint i;
-
-	for (i = 0; i < client->retired_pools->len; i++) {
-		pool_t *pool = client->retired_pools->pdata[i];
-
-		if (!pool->calls && now - pool->ended_at > POOL_REUSE_MS &&
-		    !strcmp(pool->address, address))
-			return g_ptr_array_steal_index_fast(
-				client->retired_pools, i);
+	struct conn_list *list;
+
+	while ((list = g_hash_table_lookup(client->idle, address))) {
+		client_conn_t *conn = TAILQ_FIRST(list);
+
+		idle_remove(conn);
+		/* The server may have closed it, which is not read yet. */
+		if (http_conn_is_quiet(conn->conn)) {
+			http_conn_set_referenced(conn->conn, TRUE);
+			return conn;
+		}
+		conn_close(conn);
 	}
 	return NULL;
 }
 
-static pool_t *create_pool(http_client_t *client, const char *address,
-			   const char *host, int port)
+http_client_t *http_client_create(uv_loop_t *loop)
 {
-	pool_t *pool = g_new0(pool_t, 1);
-	struct sockaddr_in addr;
+	http_client_t *client = g_new0(http_client_t, 1);
 
-	pool->address = g_strdup(address);
-	uv_ip4_addr(host, port, &addr);
-	h2o_socketpool_init_by_address(&pool->sockets, (void *)&addr,
-				       sizeof(addr), 0, POOL_CAPACITY);
-	h2o_socketpool_set_timeout(&pool->sockets, client->loop,
-				   POOL_IDLE_MAX_MS);
-	return pool;
+	/* A write to a closed connection must return an error instead. */
+	signal(SIGPIPE, SIG_IGN);
+	client->loop = loop;
+	client->idle =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	uv_timer_init(loop, &client->idle_timer);
+	uv_unref((uv_handle_t *)&client->idle_timer);
+	client->idle_timer.data = client;
+	client->invalid = counter_get("hc_http_invalid_answers_total");
+	client->extra = counter_get("hc_http_extra_bytes_total");
+	return client;
 }
 
-static pool_t *pool_get(http_client_t *client, const char *host, int port)
+void http_client_forget_connections(http_client_t *client)
 {
-	char *address = g_strdup_printf("%s:%d", host, port);
-	pool_t *pool = g_hash_table_lookup(client->pools, address);
+	client->generation++;
+	close_idle(client, 0);
+}
 
-	if (!pool) {
-		pool = take_retired_pool(client, address);
-		if (!pool)
-			pool = create_pool(client, address, host, port);
-		g_hash_table_insert(client->pools, g_strdup(address), pool);
-	}
-	g_free(address);
-	return pool;
+static void on_client_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void http_client_destroy(http_client_t *client)
+{
+	close_idle(client, 0);
+	g_hash_table_destroy(client->idle);
+	uv_close((uv_handle_t *)&client->idle_timer, on_client_closed);
 }
 
 static void on_timer_closed(uv_handle_t *handle)
@@ -169,17 +206,15 @@
 
 	if (call->buffered)
 		g_string_free(call->buffered, TRUE);
+	http1_reader_destroy(call->reader);
 	g_free(call->text);
 	g_free(call);
 }
 
+/* http1_reader may be running: the call is freed later. */
 static void call_release(http_call_t *call)
 {
 	call->conn = NULL;
-	if (call->pool) {
-		call->pool->calls--;
-		call->pool->ended_at = uv_now(call->client->loop);
-	}
 	uv_close((uv_handle_t *)&call->timer, on_timer_closed);
 }
 
@@ -194,21 +229,35 @@
 	g_clear_error(&error);
 }
 
-static const char no_connection[] =
-	"no connection; check that the server runs and is reachable";
-
-static void on_deferred_failure(uv_timer_t *timer)
+/* Ends a call whose connection can't be used any more. */
+static void call_fail(http_call_t *call, error_kind_t kind, const char *why)
 {
-	call_end(timer->data, ERROR_UNAVAILABLE, no_connection);
+	conn_close(call->conn);
+	call_end(call, kind, why);
 }
 
-static void connect_failed(http_call_t *call)
+/* The answer is complete; has_extra: bytes have followed it. */
+static void call_complete(http_call_t *call, gboolean has_extra)
 {
-	call->conn = NULL;
-	if (call->is_starting)
-		uv_timer_start(&call->timer, on_deferred_failure, 0, 0);
+	client_conn_t *conn = call->conn;
+
+	if (has_extra)
+		counter_add(call->client->extra, 1);
+	if (has_extra || !call->keeps_alive || call->is_fresh ||
+	    conn->generation != call->client->generation ||
+	    !http_conn_is_quiet(conn->conn))
+		conn_close(conn);
 	else
-		call_end(call, ERROR_UNAVAILABLE, no_connection);
+		idle_add(conn);
+	call_end(call, ERROR_INTERNAL, NULL);
+}
+
+static void call_reject(http_call_t *call, const char *why)
+{
+	counter_add(call->client->invalid, 1);
+	log_warn("answer refused", "address", call->conn->address, "error", why,
+		 NULL);
+	call_fail(call, ERROR_INTERRUPTED, why);
 }
 
 static gboolean is_too_large(const http_call_t *call)
@@ -229,127 +278,137 @@
 			       MIN((uint64_t)call->pause_max, left), 0);
 }
 
-static int on_body(h2o_http1client_t *conn, const char *errstr)
+static void report_head(http_call_t *call, const GArray *headers)
 {
-	http_call_t *call = conn->data;
-	h2o_buffer_t *input = conn->sock->input;
-
-	limit_pause(call);
-	if (errstr && errstr != h2o_http1client_error_is_eos) {
-		call_end(call, ERROR_INTERRUPTED,
-			 "the answer broke off before its end; ask again with "
-			 "the same key");
-		return 0;
-	}
-	if (input->size) {
-		/* A callback may cancel the call, which frees the buffer. */
-		size_t size = input->size;
-		char *copy = g_memdup2(input->bytes, size);
-
-		h2o_buffer_consume(&conn->sock->input, size);
-		call->is_in_callback = TRUE;
-		if (call->events.on_data)
-			call->events.on_data(call->ctx, copy, size);
-		call->is_in_callback = FALSE;
-		g_free(copy);
-		if (!call->conn)
-			return -1;
-	}
-	if (is_too_large(call)) {
-		call_end(call, ERROR_TOO_LARGE,
-			 "the answer's body is larger than this call reads");
-		return -1;
-	}
-	if (errstr)
-		call_end(call, ERROR_INTERNAL, NULL);
-	return 0;
-}
+	http_header_t *table = g_new0(http_header_t, headers->len + 1);
+	guint i;
 
-static void report_head(http_call_t *call, const h2o_header_t *headers,
-			size_t count)
-{
-	http_header_t table[HEAD_FIELDS_MAX + 1];
-	size_t i;
+	for (i = 0; i < headers->len; i++) {
+		const http_header_t *header =
+			&g_array_index(headers, http_header_t, i);
 
-	count = MIN(count, HEAD_FIELDS_MAX);
-	for (i = 0; i < count; i++) {
-		table[i].name = g_ascii_strdown(headers[i].name->base,
-						(gssize)headers[i].name->len);
-		table[i].value =
-			g_strndup(headers[i].value.base, headers[i].value.len);
+		table[i].name = g_ascii_strdown(header->name, -1);
+		table[i].value = header->value;
 	}
-	table[count].name = NULL;
-	call->is_in_callback = TRUE;
 	call->events.on_head(call->ctx, call->status, table);
-	call->is_in_callback = FALSE;
-	for (i = 0; i < count; i++) {
+	for (i = 0; i < headers->len; i++)
 		g_free((char *)table[i].name);
-		g_free((char *)table[i].value);
-	}
+	g_free(table);
 }
 
-static h2o_http1client_body_cb on_head(h2o_http1client_t *conn,
-				       const char *errstr, int minor_version,
-				       int status, h2o_iovec_t msg,
-				       h2o_header_t *headers, size_t count,
-				       int rlen)
+static void on_head(void *ctx, const http1_head_t *head)
 {
-	http_call_t *call = conn->data;
-	gboolean is_eos = errstr == h2o_http1client_error_is_eos;
+	http_call_t *call = ctx;
 
-	if (errstr && !is_eos) {
-		call_end(call, ERROR_INTERRUPTED,
-			 "the server closed the connection without an answer; "
-			 "ask again with the same key");
-		return NULL;
-	}
-	call->status = status;
+	call->status = head->status;
+	call->keeps_alive = head->keeps_alive && head->has_length;
 	call->answer_due =
 		uv_now(call->client->loop) + (uint64_t)call->answer_max;
 	limit_pause(call);
 	if (call->events.on_head)
-		report_head(call, headers, count);
-	if (!call->conn)
-		return NULL;
-	if (is_eos) {
-		call_end(call, ERROR_INTERNAL, NULL);
-		return NULL;
-	}
-	return on_body;
+		report_head(call, head->headers);
 }
 
-static h2o_http1client_head_cb on_connect(h2o_http1client_t *conn,
-					  const char *errstr,
-					  h2o_iovec_t **bufs, size_t *count,
-					  int *method_is_head)
+static void on_body(void *ctx, const char *data, size_t size)
 {
-	http_call_t *call = conn->data;
+	http_call_t *call = ctx;
+
+	/* A callback may have cancelled the call. */
+	if (call->conn && call->events.on_data)
+		call->events.on_data(call->ctx, data, size);
+}
+
+static void on_message_end(void *ctx)
+{
+}
 
-	if (errstr) {
-		connect_failed(call);
-		return NULL;
+static void on_conn_data(void *ctx, const char *data, size_t size)
+{
+	client_conn_t *conn = ctx;
+	http_call_t *call = conn->call;
+	GError *error = NULL;
+	size_t read;
+
+	if (!call) {
+		counter_add(conn->client->extra, 1);
+		idle_remove(conn);
+		conn_close(conn);
+		return;
 	}
+	if (http1_reader_is_head_done(call->reader))
+		limit_pause(call);
+	read = http1_reader_feed(call->reader, data, size, &error);
+	/* A callback may have cancelled the call. */
+	if (!call->conn)
+		;
+	else if (error)
+		call_reject(call, error->message);
+	else if (is_too_large(call))
+		call_fail(call, ERROR_TOO_LARGE,
+			  "the answer's body is larger than this call reads");
+	else if (http1_reader_is_done(call->reader))
+		call_complete(call, read < size);
+	g_clear_error(&error);
+}
+
+static void conn_send(client_conn_t *conn)
+{
+	http_call_t *call = conn->call;
+
 	call->is_sent = TRUE;
-	call->text_vec = h2o_iovec_init(call->text, call->text_size);
-	*bufs = &call->text_vec;
-	*count = 1;
-	*method_is_head = call->is_head_method;
-	return on_head;
+	http_conn_send(conn->conn, g_steal_pointer(&call->text),
+		       call->text_size);
+}
+
+static void on_conn_open(void *ctx)
+{
+	conn_send(ctx);
+}
+
+static const char no_answer[] =
+	"the server closed the connection without an answer; ask again with "
+	"the same key";
+static const char no_whole_answer[] =
+	"the answer broke off before its end; ask again with the same key";
+static const char no_connection[] =
+	"no connection; check that the server runs and is reachable";
+
+static void on_conn_end(void *ctx, http_conn_end_t end, const char *why)
+{
+	client_conn_t *conn = ctx;
+	http_call_t *call = conn->call;
+
+	if (!call)
+		idle_remove(conn);
+	conn_free(conn);
+	if (!call)
+		return;
+	if (end == HTTP_CONN_NOT_OPENED) {
+		log_debug("connection failed", "error", why, NULL);
+		call_end(call, ERROR_UNAVAILABLE, no_connection);
+		return;
+	}
+	if (end == HTTP_CONN_CLOSED && http1_reader_finish(call->reader))
+		call_end(call, ERROR_INTERNAL, NULL);
+	else
+		call_end(call, ERROR_INTERRUPTED,
+			 http1_reader_is_head_done(call->reader)
+				 ? no_whole_answer
+				 : no_answer);
 }
 
 static void on_call_timer(uv_timer_t *timer)
 {
 	http_call_t *call = timer->data;
-	h2o_http1client_t *conn = call->conn;
-	error_kind_t kind = call->is_sent ? ERROR_TIMEOUT : ERROR_UNAVAILABLE;
 
-	if (conn)
-		h2o_http1client_cancel(conn);
-	call_end(call, kind,
-		 call->is_sent ? "no whole answer came in the time allowed; "
-				 "allow more time"
-			       : "no connection within the time limit; check "
-				 "that the server is reachable");
+	if (call->is_sent)
+		call_fail(call, ERROR_TIMEOUT,
+			  "no whole answer came in the time allowed; allow "
+			  "more time");
+	else
+		call_fail(call, ERROR_UNAVAILABLE,
+			  "no connection within the time limit; check that the "
+			  "server is reachable");
 }
 
 static char *render_request(const http_call_request_t *request, size_t *size)
@@ -376,39 +435,49 @@
 	return g_string_free(text, FALSE);
 }
 
+/* Gives the call a connection. */
 static void call_connect(http_call_t *call, const http_call_request_t *request)
 {
+	static const http_conn_events_t events = {on_conn_open, on_conn_data,
+						  on_conn_end};
 	http_client_t *client = call->client;
-	h2o_iovec_t host;
-
-	if (!request->is_fresh && !request->tls) {
-		pool_t *pool = pool_get(client, request->host, request->port);
-
-		call->pool = pool;
-		pool->calls++;
-		h2o_http1client_connect_with_pool(&call->conn, call,
-						  &client->ctx, &pool->sockets,
-						  on_connect);
+	char *address = g_strdup_printf("%s:%d", request->host, request->port);
+	client_conn_t *conn =
+		call->is_fresh ? NULL : idle_take(client, address);
+
+	if (conn) {
+		g_free(address);
+		call->conn = conn;
+		conn->call = call;
+		conn_send(conn);
 		return;
 	}
-	host = h2o_iovec_init(request->host, strlen(request->host));
-	client->ctx.ssl_ctx = request->tls;
-	h2o_http1client_connect(&call->conn, call, &client->ctx, host,
-				(uint16_t)request->port, request->tls != NULL,
-				on_connect);
+	conn = g_new0(client_conn_t, 1);
+	conn->client = client;
+	conn->call = call;
+	conn->address = address;
+	conn->generation = client->generation;
+	conn->conn = http_conn_open(client->loop, request->host, request->port,
+				    request->tls, &events, conn);
+	call->conn = conn;
 }
 
 http_call_t *http_call_start(http_client_t *client,
 			     const http_call_request_t *request,
 			     const http_call_events_t *events, void *ctx)
 {
+	static const http1_events_t reader_events = {on_head, on_body,
+						     on_message_end};
 	http_call_t *call = g_new0(http_call_t, 1);
 
 	call->client = client;
 	call->events = *events;
 	call->ctx = ctx;
 	call->text = render_request(request, &call->text_size);
-	call->is_head_method = !strcmp(request->method, "HEAD");
+	call->reader = http1_reader_create(HTTP1_RESPONSES, HEAD_MAX_BYTES,
+					   &reader_events, call);
+	http1_reader_reset(call->reader, !strcmp(request->method, "HEAD"));
+	call->is_fresh = request->is_fresh || request->tls;
 	call->answer_max = request->answer_max;
 	call->pause_max = request->pause_max;
 	uv_timer_init(client->loop, &call->timer);
@@ -416,16 +485,13 @@
 	if (request->timeout > 0)
 		uv_timer_start(&call->timer, on_call_timer,
 			       (uint64_t)request->timeout, 0);
-	call->is_starting = TRUE;
 	call_connect(call, request);
-	call->is_starting = FALSE;
 	return call;
 }
 
 void http_call_cancel(http_call_t *call)
 {
-	if (call->conn && !call->is_in_callback)
-		h2o_http1client_cancel(call->conn);
+	conn_close(call->conn);
 	call_release(call);
 }
 
--- a/lib/http/http_client.h
+++ b/lib/http/http_client.h
@@ -2,15 +2,19 @@
 #define HTTP_HTTP_CLIENT_H
 
 /*
- * An HTTP/1.1 client on a libuv loop, based on h2o, with a pool of persistent
- * connections for each address.
+ * An HTTP/1.1 client on a libuv loop, with a pool of persistent connections for
+ * each address.
+ *
+ * Answers are read by http1_reader.  One that is no valid HTTP/1 message is
+ * logged, and its connection is closed, as is one that received bytes after an
+ * answer.
  *
  * on_end is called exactly once unless the call is cancelled.  Its error shows
  * whether the request can have reached the server:
  *
  *  - ERROR_UNAVAILABLE: no connection was established, nothing was sent;
  *  - ERROR_INTERRUPTED: the request was sent, but the connection closed before
- *    the response was complete;
+ *    the response was complete, or the response is not valid;
  *  - ERROR_TIMEOUT: the request was sent, but the response was not complete
  *    within the time limits.
  *
--- a/lib/standin/link_proxy.c
+++ b/lib/standin/link_proxy.c
@@ -81,6 +81,8 @@
 	ms_t delay;
 	cut_t cut; /* of each connection */
 	size_t cut_bytes;
+	int spoils_every; /* head of an answer; 0 for none */
+	int heads;	  /* that could be spoiled since then */
 	int open_handles;
 };
 
@@ -169,14 +171,44 @@
 		pair->is_dead = TRUE;
 }
 
+/* Returns where the value of a head's framing begins, or NULL. */
+static char *find_framing(char *data, size_t size)
+{
+	static const char *const names[] = {"\r\ncontent-length: ",
+					    "\r\ntransfer-encoding: "};
+	size_t i;
+	guint j;
+
+	for (i = 0; i < size; i++) {
+		for (j = 0; j < G_N_ELEMENTS(names); j++) {
+			size_t name_size = strlen(names[j]);
+
+			if (i + name_size < size &&
+			    !g_ascii_strncasecmp(data + i, names[j], name_size))
+				return data + i + name_size;
+		}
+	}
+	return NULL;
+}
+
+static void spoil_framing(link_proxy_t *proxy, char *data, size_t size)
+{
+	char *value = proxy->spoils_every ? find_framing(data, size) : NULL;
+
+	if (value && ++proxy->heads % proxy->spoils_every == 0)
+		*value = '~';
+}
+
 /* Queues what the target has sent, up to the cut. */
-static void queue_answer(pair_t *pair, const char *data, size_t size)
+static void queue_answer(pair_t *pair, char *data, size_t size)
 {
 	link_proxy_t *proxy = pair->proxy;
 	size_t passing = size;
 
 	if (is_cut_off(pair))
 		return;
+	if (size != END_OF_STREAM)
+		spoil_framing(proxy, data, size);
 	if (size && pair->cut == CUT_NONE) {
 		pair->cut = proxy->cut;
 		pair->cut_left = proxy->cut_bytes;
@@ -428,6 +460,12 @@
 	return TRUE;
 }
 
+void link_proxy_set_spoil(link_proxy_t *proxy, int every)
+{
+	proxy->spoils_every = every;
+	proxy->heads = 0;
+}
+
 void link_proxy_reset(link_proxy_t *proxy)
 {
 	while (!TAILQ_EMPTY(&proxy->pairs))
--- a/lib/standin/link_proxy.h
+++ b/lib/standin/link_proxy.h
@@ -5,7 +5,7 @@
  * A TCP proxy on the loopback network that injects network faults into the link
  * between a program and a server: delay, loss in one or both directions, reset
  * connections, connections that go silent for good, and answers that are cut
- * off at any byte.
+ * off at any byte or state odd framing.
  *
  * Data and ends of streams that are blocked are forwarded in order once the
  * link is open again.  The proxy accepts new connections in every mode, as if
@@ -63,6 +63,12 @@
  */
 gboolean link_proxy_set_cut(link_proxy_t *proxy, size_t bytes, const char *way);
 
+/*
+ * Spoils the first byte of the length or the transfer coding of each Nth answer
+ * from now on; 0 for none.  A head has to come in one piece.
+ */
+void link_proxy_set_spoil(link_proxy_t *proxy, int every);
+
 /* Resets all connections, on both sides. */
 void link_proxy_reset(link_proxy_t *proxy);
 
--- a/standin/standin-proxy.c
+++ b/standin/standin-proxy.c
@@ -18,6 +18,7 @@
 #define BODY_MAX      1024
 #define DELAY_MAX_MS  60000
 #define CUT_MAX_BYTES 1000000
+#define SPOIL_MAX     1000000
 
 static const char usage[] = "usage: standin-proxy NAME=HOST:PORT...\n"
 			    "\n"
@@ -90,18 +91,23 @@
 		name ? g_hash_table_lookup(proxies->links, name) : NULL;
 	const char *cut = http_request_query(request, "cut");
 	const char *way = http_request_query(request, "as");
+	const char *spoil = http_request_query(request, "spoil");
 	int delay_ms;
 	int cut_bytes;
+	int every;
 
 	if (!link ||
 	    (delay && !standin_parse_number(delay, DELAY_MAX_MS, &delay_ms)) ||
 	    (cut && !standin_parse_number(cut, CUT_MAX_BYTES, &cut_bytes)) ||
 	    (cut &&
 	     !link_proxy_set_cut(link, (size_t)cut_bytes, way ? way : "")) ||
+	    (spoil && !standin_parse_number(spoil, SPOIL_MAX, &every)) ||
 	    (mode && !link_proxy_set_mode(link, mode)))
 		return FALSE;
 	if (delay)
 		link_proxy_set_delay(link, delay_ms);
+	if (spoil)
+		link_proxy_set_spoil(link, every);
 	if (http_request_query(request, "reset"))
 		link_proxy_reset(link);
 	if (kill)
@@ -112,7 +118,8 @@
 static void on_control(void *ctx, http_request_t *request)
 {
 	static const char done[] = "done\n";
-	static const char invalid[] = "no such link, mode, delay or cut\n";
+	static const char invalid[] =
+		"no such link, mode, delay, cut or spoil\n";
 	gboolean is_applied = apply_control(ctx, request);
 	const char *text = is_applied ? done : invalid;
 
--- a/t/t0004-standin-proxy.sh
+++ b/t/t0004-standin-proxy.sh
@@ -128,7 +128,7 @@
 expect 'an unknown mode changes nothing' eval \
 	'control mode=open; control mode=shut; order ten' <<\END
 done
-no such link, mode, delay or cut
+no such link, mode, delay, cut or spoil
 200
 0
 END
