http/http_client: tell callers what to do after an invalid answer

The body of an invalid answer gets that text again, an invalid head one of its own with the same remedy; the log line keeps the detail. t0103 passes as it was; t0105 expects the new text of hcctl.

--- a/t/t0105-odd-framing.sh
+++ b/t/t0105-odd-framing.sh
@@ -40,7 +40,7 @@
 	>"$work/history" 2>&1 || status=$?
 expect 'hcctl says what was wrong' sh -c "echo $status; cat '$work/history'" <<\END
 1
-hcctl: interrupted: the bytes are no HTTP/1 message: the transfer coding is not "chunked"
+hcctl: interrupted: the server's answer is not valid (the bytes are no HTTP/1 message: the transfer coding is not "chunked"); ask again with the same key
 END
 spoil admin 0
 
