front: judge each answer of an endpoint, also where a stream is resumed

Cause: an answer was judged only while nothing of one had been relayed. The request's log line says "answered" with two sends, and t0840 shows the same for an encoded answer, another content type and a part of a body; a resumed stream that begins again or leaves out an event was relayed as it came.

Change: answer_check() judges each answer at its head, by whether one has begun, status, signature, content coding and content type; it does no I/O. event_order follows the ids of a stream over its attempts and refuses events that repeat or leave out one. A refused answer ends its attempt at once and is logged; the request goes on elsewhere if it may, else the caller sees an end before the end.

--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -46,7 +46,7 @@
 		.kind = kind,
 		.is_idempotent = forward->is_idempotent,
 		.is_delivered = forward->is_answer_begun,
-		.is_resumable = forward->last_event_id != NULL,
+		.is_resumable = forward->events.last_id != NULL,
 	};
 
 	if (outcome == OUTCOME_NOT_RUN)
@@ -228,7 +228,7 @@
 		.address = address,
 		.deadline = MAX(forward->deadline_at - now, 1),
 		.priority = forward_priority(forward),
-		.after_event = forward->last_event_id,
+		.after_event = forward->events.last_id,
 		.has_organisations =
 			route_table_organisations(forward->routes) != NULL,
 		.organisation = forward->organisation
@@ -261,6 +261,7 @@
 	forward->is_known_not_run = FALSE;
 	forward->state = FORWARD_SENT;
 	forward->sent_at = now;
+	forward->attempt.is_resumed = forward->events.last_id != NULL;
 	fleet_endpoint_unreserve(endpoint);
 	fleet_endpoint_begin(endpoint, now);
 	request.text = text;
@@ -413,6 +414,10 @@
 	forward->is_stream = route->kind == ROUTE_STREAMING;
 	forward->is_idempotent = route->kind == ROUTE_IDEMPOTENT ||
 				 (forward->is_stream && route->is_resumable);
+	event_order_init(&forward->events,
+			 forward->is_stream && route->is_resumable
+				 ? forward->fields.after_event
+				 : NULL);
 	time = MIN(route->timeout, forward->fields.deadline);
 	forward->deadline_at = call_arrived_at(call) + time;
 	forward->state = FORWARD_WAITING;
--- a/lib/front/forward_answer.c
+++ b/lib/front/forward_answer.c
@@ -21,6 +21,31 @@
 /* Largest body of an answer; a larger one is taken for one without end. */
 #define ANSWER_MAX_BYTES (64 * 1024 * 1024)
 
+static gboolean is_event_stream(const http1_head_t *head)
+{
+	static const char events[] = "text/event-stream";
+	const char *type = http1_header(head, "content-type");
+
+	return type && !g_ascii_strncasecmp(type, events, strlen(events));
+}
+
+/* Decides what becomes of the answer; FALSE if it is refused. */
+static gboolean judge_answer(forward_t *forward, const http1_head_t *head)
+{
+	attempt_t *attempt = &forward->attempt;
+	answer_facts_t facts = {
+		.is_begun = forward->is_answer_begun,
+		.is_stream = forward->is_stream,
+		.status = head->status,
+		.is_signed = attempt->answer.is_signed,
+		.is_encoded = attempt->answer.is_encoded,
+		.is_event_stream = is_event_stream(head),
+	};
+
+	attempt->use = answer_check(&facts, &attempt->refusal);
+	return attempt->use != ANSWER_REFUSE;
+}
+
 static gboolean on_head(void *ctx, const http1_head_t *head)
 {
 	forward_t *forward = ctx;
@@ -41,26 +66,18 @@
 	exchange_set_idle(forward->attempt.exchange,
 			  forward->attempt.answer.idle_timeout);
 	/* The endpoint may send the answer to another request. */
+	if (forward->attempt.answer.id &&
+	    g_strcmp0(forward->attempt.answer.id, forward->fields.id))
+		return FALSE;
+	if (!judge_answer(forward, head))
+		return FALSE;
 	if (forward->attempt.answer.id)
-		return !g_strcmp0(forward->attempt.answer.id,
-				  forward->fields.id);
+		return TRUE;
 	/* Written once more, it would look like the next request's. */
 	exchange_close_after(forward->attempt.exchange);
 	return head->status >= 400;
 }
 
-static gboolean is_success(const forward_t *forward)
-{
-	return forward->attempt.head->status >= 200 &&
-	       forward->attempt.head->status < 300;
-}
-
-static gboolean is_valid_success(const forward_t *forward)
-{
-	return forward->attempt.answer.is_signed &&
-	       !forward->attempt.answer.is_encoded;
-}
-
 static void begin_answer(forward_t *forward, int64_t size)
 {
 	front_t *front = forward->front;
@@ -76,30 +93,6 @@
 	call_begin(forward->call, forward->attempt.head, size);
 }
 
-/* Records the id of an event; text is the complete event. */
-static void record_event_id(forward_t *forward, const char *text, size_t size)
-{
-	static const char field[] = "id:";
-	const char *line = text;
-	const char *end = text + size;
-
-	while (line < end) {
-		const char *line_end = memchr(line, '\n', (size_t)(end - line));
-		size_t length = (size_t)((line_end ? line_end : end) - line);
-
-		if (length > strlen(field) &&
-		    !strncmp(line, field, strlen(field))) {
-			g_free(forward->last_event_id);
-			forward->last_event_id = g_strndup(
-				line + strlen(field), length - strlen(field));
-			g_strstrip(forward->last_event_id);
-		}
-		if (!line_end)
-			return;
-		line = line_end + 1;
-	}
-}
-
 /*
  * Returns the size of the first event with the empty line that ends it; 0 if it
  * is not complete.  Lines end with LF or CRLF.
@@ -142,11 +135,27 @@
 	forward->attempt.data_at = 0;
 }
 
+/* Returns FALSE, and sets the reason, if an event is out of order. */
+static gboolean accept_event(forward_t *forward, const char *text, size_t size)
+{
+	attempt_t *attempt = &forward->attempt;
+	event_place_t place = EVENT_OF_RUN;
+
+	if (!event_has_data(text, size))
+		return TRUE;
+	if (attempt->is_resumed)
+		place = attempt->has_event ? EVENT_OF_RESUMED : EVENT_RESUMES;
+	attempt->refusal =
+		event_order_accept(&forward->events, text, size, place);
+	attempt->has_event = TRUE;
+	return !attempt->refusal;
+}
+
 /*
  * Relays complete events only, so that the stream can be resumed at another
  * endpoint; and no head before the first of them, so that until then the
  * request can be sent to another endpoint as if there had been no answer.
- * Returns FALSE if an event does not end.
+ * Returns FALSE if an event does not end, or is out of order.
  */
 static gboolean relay_events(forward_t *forward, const char *data, size_t size)
 {
@@ -155,8 +164,9 @@
 
 	g_string_append_len(event, data, (gssize)size);
 	while ((length = event_size(event->str, event->len))) {
+		if (!accept_event(forward, event->str, length))
+			return FALSE;
 		begin_answer(forward, -1);
-		record_event_id(forward, event->str, length);
 		call_write(forward->call, event->str, length);
 		g_string_erase(event, 0, (gssize)length);
 	}
@@ -217,7 +227,7 @@
 	if (buffered->len <= BUFFERED_MAX_BYTES &&
 	    !is_short_of_memory(forward->front))
 		return TRUE;
-	if (!is_success(forward) || !is_valid_success(forward))
+	if (forward->attempt.use != ANSWER_RELAY)
 		return FALSE;
 	begin_answer(forward, -1);
 	call_write(forward->call, (const char *)buffered->data, buffered->len);
@@ -233,12 +243,11 @@
 	forward->attempt.received += size;
 	if (forward->attempt.received > ANSWER_MAX_BYTES)
 		return FALSE;
-	if (forward->is_stream && is_success(forward) &&
-	    is_valid_success(forward))
+	if (forward->is_stream && forward->attempt.use == ANSWER_RELAY)
 		return relay_stream(forward, data, size);
 	if (!forward->is_answer_begun)
 		return buffer_answer(forward, data, size);
-	if (!forward->is_stream)
+	if (forward->attempt.use == ANSWER_RELAY)
 		call_write(forward->call, data, size);
 	return TRUE;
 }
@@ -249,6 +258,8 @@
 
 	record_gap(forward);
 	if (!relay_data(forward, data, size)) {
+		if (forward->attempt.refusal)
+			return FALSE;
 		counter_add(forward->front->cut_answers, 1);
 		log_warn("answer cut", "endpoint",
 			 fleet_endpoint_id(forward->endpoint), "id",
@@ -328,26 +339,21 @@
 	forward_retry(forward, OUTCOME_UNKNOWN, ERROR_INTERRUPTED);
 }
 
+static void handle_success(forward_t *forward)
+{
+	front_note_answered_parts(forward->front, forward->parts);
+	fleet_endpoint_note_success(forward->endpoint);
+	relay_answer(forward);
+}
+
 static void handle_complete_answer(forward_t *forward)
 {
 	int status = forward->attempt.head->status;
 
 	if (forward->attempt.is_inside_event) {
 		handle_broken_stream(forward);
-		return;
-	}
-	if (is_success(forward) && is_valid_success(forward))
-		front_note_answered_parts(forward->front, forward->parts);
-	if (forward->is_answer_begun && is_success(forward)) {
-		fleet_endpoint_note_success(forward->endpoint);
-		relay_answer(forward);
-	} else if (is_success(forward)) {
-		if (is_valid_success(forward)) {
-			fleet_endpoint_note_success(forward->endpoint);
-			relay_answer(forward);
-		} else {
-			discard_answer(forward);
-		}
+	} else if (forward->attempt.use == ANSWER_RELAY) {
+		handle_success(forward);
 	} else if (forward->is_answer_begun ||
 		   forward->attempt.answer.is_not_run ||
 		   (status >= 500 && forward_may_retry(forward)) ||
@@ -362,6 +368,18 @@
 	}
 }
 
+/* The answer can't be used, though the endpoint may have run the request. */
+static void handle_refused_answer(forward_t *forward)
+{
+	forward->failure_reason = forward->attempt.refusal;
+	counter_add(forward->front->refused_answers, 1);
+	log_warn("answer refused", "endpoint",
+		 fleet_endpoint_id(forward->endpoint), "id", forward->fields.id,
+		 "why", forward->failure_reason, NULL);
+	fleet_endpoint_note_failure(forward->endpoint, forward_now(forward));
+	forward_retry(forward, OUTCOME_UNKNOWN, ERROR_INTERRUPTED);
+}
+
 static void on_end(void *ctx, link_result_t result, const char *why)
 {
 	forward_t *forward = ctx;
@@ -371,6 +389,10 @@
 		handle_complete_answer(forward);
 		return;
 	}
+	if (forward->attempt.refusal) {
+		handle_refused_answer(forward);
+		return;
+	}
 	g_strlcpy(forward->exchange_error, why,
 		  sizeof(forward->exchange_error));
 	forward->failure_reason = forward->exchange_error;
--- a/lib/front/forward_end.c
+++ b/lib/front/forward_end.c
@@ -11,7 +11,7 @@
 	g_ptr_array_free(forward->tried, TRUE);
 	g_byte_array_free(forward->attempt.buffered, TRUE);
 	g_string_free(forward->attempt.partial_event, TRUE);
-	g_free(forward->last_event_id);
+	event_order_release(&forward->events);
 	g_free(forward->last_endpoint);
 	g_free(forward->model);
 	g_strfreev(forward->parts);
@@ -63,6 +63,10 @@
 	g_string_truncate(attempt->partial_event, 0);
 	memory_budget_change(front->memory, MEMORY_ANSWERS,
 			     -(gssize)attempt->kept);
+	attempt->use = ANSWER_HOLD;
+	attempt->refusal = NULL;
+	attempt->is_resumed = FALSE;
+	attempt->has_event = FALSE;
 	attempt->kept = 0;
 	attempt->received = 0;
 	attempt->data_at = 0;
--- a/lib/front/forward_private.h
+++ b/lib/front/forward_private.h
@@ -6,6 +6,8 @@
  * endpoint and the answer back.
  */
 
+#include "front/answer_check.h"
+#include "front/event_order.h"
 #include "front/front_private.h"
 #include "request/retry.h"
 
@@ -63,6 +65,11 @@
 	exchange_t *exchange; /* NULL before it is sent and once it has ended */
 	const http1_head_t *head;
 	response_fields_t answer;
+	answer_use_t use;    /* of the answer, once its head has come */
+	const char *refusal; /* why it is refused, a constant; or NULL */
+	/* The caller had received a part of the stream, or names one. */
+	gboolean is_resumed;
+	gboolean has_event;	/* one was relayed */
 	GByteArray *buffered;	/* body of an answer that is no stream */
 	GString *partial_event; /* incomplete event of a resumable stream */
 	size_t received;	/* bytes of the body */
@@ -124,7 +131,7 @@
 	/* The newest attempt has certainly not run. */
 	gboolean is_known_not_run;
 	gboolean is_answer_begun; /* the caller was sent a head */
-	char *last_event_id;	  /* last one sent to the caller */
+	event_order_t events;	  /* those of the stream sent to the caller */
 	ms_t admission_sent_at;
 	ms_t admission_wait; /* total time of waiting for admission */
 	ms_t sent_at;
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -438,6 +438,7 @@
 	front->imbalance = counter_get("hc_endpoint_imbalance_percent");
 	front->parts_held = counter_get("hc_prompt_parts_held_total");
 	front->cut_answers = counter_get("hc_answers_cut_total");
+	front->refused_answers = counter_get("hc_answers_refused_total");
 	front->first_byte_time = histogram_get("hc_first_byte_ms");
 	front->load_wait_time = histogram_get("hc_adapter_wait_ms");
 }
--- a/lib/front/front_private.h
+++ b/lib/front/front_private.h
@@ -118,9 +118,10 @@
 	counter_t *leaving; /* endpoints that said so */
 	counter_t *quiet;   /* times that endpoints asked for it */
 	counter_t *limited; /* times that an endpoint began to name a limit */
-	counter_t *work_shared; /* changes of work time passed on */
-	counter_t *imbalance;	/* gauge: of plain endpoints, in percent */
-	counter_t *cut_answers; /* too large, or with memory short */
+	counter_t *work_shared;	    /* changes of work time passed on */
+	counter_t *imbalance;	    /* gauge: of plain endpoints, in percent */
+	counter_t *cut_answers;	    /* too large, or with memory short */
+	counter_t *refused_answers; /* successes that are not valid */
 	histogram_t *first_byte_time;
 	histogram_t *load_wait_time;
 };
