front/caller: count a connection as busy until its answer is written

Cause: an answer counted as finished when its last byte was handed to the loop. The stop asked that count; the idle close and the idle timeout took a kept connection with a queued answer for idle. A further request that was read before the stop was dropped with the end of the answer before it.

Change: call_is_busy() is computed from the connection: a request that was read, an answer of which the kernel has not taken the last byte, or bytes read after the request. The stop, the idle close and the idle timeout ask it. A caller that takes less of the end of its answer than bodies have to bring, by what its side has acknowledged, is closed and logged. Requests that were read are answered in a stop before the connection is closed. The stop waits for the answers of the ready and metrics ports as well.

--- a/lib/front/caller.c
+++ b/lib/front/caller.c
@@ -72,8 +72,6 @@
 	callers->count--;
 	if (call->is_paused)
 		callers->paused--;
-	if (call->state != CALLER_READING)
-		callers->active--;
 	if (!is_reset || uv_tcp_close_reset(&call->tcp, on_closed) < 0)
 		uv_close((uv_handle_t *)&call->tcp, on_closed);
 }
@@ -204,7 +202,6 @@
 	call_charge(call, MEMORY_BODIES_KEPT, call->body->len);
 	call->state = CALLER_DELIVERED;
 	call->arrived_at = call_now(call);
-	call->callers->active++;
 	call->callers->events.on_request(call->callers->ctx, call);
 }
 
@@ -235,6 +232,7 @@
 	}
 	call_charge(call, MEMORY_HEADS, http1_reader_memory(call->reader));
 	if (http1_reader_is_done(call->reader)) {
+		call->has_following = read < size;
 		deliver(call);
 		return read;
 	}
@@ -259,6 +257,18 @@
 	return call->pipelined->len - call->pipelined_read;
 }
 
+gboolean call_has_pipelined(const call_t *call)
+{
+	return call->is_consuming ? call->has_following
+				  : pipelined_left(call) > 0;
+}
+
+gboolean call_is_busy(const call_t *call)
+{
+	return call->state != CALLER_READING || call->is_rejected ||
+	       call_queue_size(call) || call_has_pipelined(call);
+}
+
 void call_read_pipelined(call_t *call)
 {
 	if (call->is_consuming)
@@ -428,6 +438,7 @@
 	callers->waits = counter_get("hc_callers_memory_waits_total");
 	callers->accept_waits = counter_get("hc_callers_accept_waits_total");
 	callers->closed_unused = counter_get("hc_callers_closed_unused_total");
+	callers->closed_unread = counter_get("hc_callers_closed_unread_total");
 	uv_tcp_init(options->loop, &callers->listener);
 	callers->listener.data = callers;
 	code = uv_ip4_addr(options->address, options->port, &address);
@@ -462,14 +473,17 @@
 	callers->is_closed = TRUE;
 	for (call = TAILQ_FIRST(&callers->calls); call; call = next) {
 		next = TAILQ_NEXT(call, link);
-		if (call->state == CALLER_READING &&
-		    http1_reader_is_idle(call->reader) &&
-		    !call->closes_after_write)
+		if (http1_reader_is_idle(call->reader) && !call_is_busy(call))
 			call_close(call);
 	}
 }
 
 guint callers_active(const callers_t *callers)
 {
-	return callers->active;
+	const call_t *call;
+	guint count = 0;
+
+	TAILQ_FOREACH (call, &callers->calls, link)
+		count += (guint)call_is_busy(call);
+	return count;
 }
--- a/lib/front/caller.h
+++ b/lib/front/caller.h
@@ -51,11 +51,17 @@
 			  const callers_events_t *events, void *ctx,
 			  GError **error);
 
-/* Closes each connection after its current answer. */
+/*
+ * Closes each connection after its current answer, or after those to requests
+ * that were read before.
+ */
 void callers_drain(callers_t *callers);
-/* Stops accepting connections and closes the idle ones. */
+/*
+ * Stops accepting connections and closes the idle ones: those without a request
+ * that was read, and without an answer that was not written to its end.
+ */
 void callers_close_idle(callers_t *callers);
-/* Number of requests that have not ended. */
+/* Number of connections with such a request or answer. */
 guint callers_active(const callers_t *callers);
 
 const http1_head_t *call_head(const call_t *call);
--- a/lib/front/caller_answer.c
+++ b/lib/front/caller_answer.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "front/caller_private.h"
+#include "http/tcp.h"
 
 typedef struct {
 	uv_write_t write;
@@ -15,6 +16,15 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&call->tcp);
 }
 
+/*
+ * The kernel takes more only once much of what it holds is acknowledged, so the
+ * queue alone shows no progress of a slow reader.
+ */
+size_t call_untaken(const call_t *call)
+{
+	return call_queue_size(call) + tcp_unacknowledged(&call->tcp);
+}
+
 static gboolean is_short_of_memory(const callers_t *callers)
 {
 	return memory_budget_is_short_for_answers(callers->options.budget);
@@ -81,28 +91,32 @@
 
 static void finish_request(call_t *call)
 {
-	call->callers->active--;
 	call->state = CALLER_READING;
 	call->active_at = call_now(call);
 	call->is_congested = FALSE;
 	call->has_served = TRUE;
 	call_drop_request(call);
-	/*
-	 * An answer that began before the stop has not sent "Connection:
-	 * close".
-	 */
-	if (!call->keeps_alive || call->callers->is_draining) {
+	call->untaken = call_untaken(call);
+	body_progress_begin(&call->taken, call->active_at);
+	if (!call->keeps_alive) {
 		call->closes_after_write = TRUE;
 		if (!call_queue_size(call))
 			call_close(call);
 		return;
 	}
-	call_read_pipelined(call);
+	/*
+	 * An answer that began before the stop has not sent "Connection:
+	 * close", and further requests may have been read.
+	 */
+	if (call->callers->is_draining && !call_is_busy(call))
+		call_close(call);
+	else
+		call_read_pipelined(call);
 }
 
 static void append_connection(call_t *call, GString *text)
 {
-	if (call->callers->is_draining)
+	if (call->callers->is_draining && !call_has_pipelined(call))
 		call->keeps_alive = FALSE;
 	if (!call->keeps_alive)
 		g_string_append(text, "Connection: close\r\n");
--- a/lib/front/caller_limits.c
+++ b/lib/front/caller_limits.c
@@ -240,13 +240,31 @@
 		    "the request did not arrive in time\n");
 }
 
+/* Closes a connection whose caller does not take the end of its answer. */
+static void check_unsent(call_t *call, ms_t now)
+{
+	size_t untaken = call_untaken(call);
+
+	body_progress_add(&call->taken,
+			  call->untaken - MIN(untaken, call->untaken));
+	call->untaken = untaken;
+	if (!body_progress_is_slow(&call->taken, now,
+				   callers_limits(call->callers)->idle_timeout))
+		return;
+	log_info("caller closed", "why", "its answer is not read", NULL);
+	counter_add(call->callers->closed_unread, 1);
+	call_lost(call);
+}
+
 /* Ends a request that does not arrive. */
 static void check_request(call_t *call, ms_t now)
 {
 	const route_limits_t *limits = callers_limits(call->callers);
 	ms_t silent = now - call->active_at;
 
-	if (http1_reader_is_idle(call->reader)) {
+	if (http1_reader_is_idle(call->reader) && call_queue_size(call)) {
+		check_unsent(call, now);
+	} else if (http1_reader_is_idle(call->reader)) {
 		if (silent > limits->idle_timeout)
 			call_lost(call);
 	} else if (!http1_reader_is_head_done(call->reader)) {
--- a/lib/front/caller_private.h
+++ b/lib/front/caller_private.h
@@ -56,7 +56,10 @@
 	ms_t waiting_since; /* for memory; 0 if it is not */
 	size_t discarded;   /* bytes read since the refusal */
 	body_progress_t progress;
-	int refusal; /* status; 0 while the request is read */
+	/* Of the end of an answer: what the caller has taken of it. */
+	body_progress_t taken;
+	size_t untaken; /* bytes of it at the last sweep */
+	int refusal;	/* status; 0 while the request is read */
 	gboolean has_served;
 	gboolean is_chunked;
 	gboolean keeps_alive;
@@ -65,6 +68,7 @@
 	gboolean is_rejected; /* further bytes are discarded */
 	gboolean is_congested;
 	gboolean is_consuming;
+	gboolean has_following;	    /* bytes after the request being consumed */
 	gboolean is_mostly_framing; /* the last read of its body */
 	gboolean is_paused;	    /* not read until the next tick */
 	gboolean is_stopped;	    /* not read until pipelined requests are */
@@ -81,7 +85,6 @@
 	uv_timer_t pacer; /* runs while a connection is paused */
 	struct call_list calls;
 	guint count;
-	guint active;
 	guint paused;
 	ms_t swept_at;
 	size_t framing_left; /* bytes of framing that may be read in this tick
@@ -96,6 +99,7 @@
 	counter_t *waits;
 	counter_t *accept_waits;
 	counter_t *closed_unused;
+	counter_t *closed_unread;
 };
 
 /* caller.c: connections and requests. */
@@ -105,6 +109,11 @@
 /* Sets the size that the connection keeps in a part of the budget. */
 void call_charge(call_t *call, memory_part_t part, size_t size);
 void call_close(call_t *call);
+/*
+ * Whether the connection has a request that was read, or an answer of which the
+ * kernel has not taken the last byte.
+ */
+gboolean call_is_busy(const call_t *call);
 /* The caller disconnected, or the connection failed. */
 void call_lost(call_t *call);
 void call_close_by(call_t *call, gboolean is_reset);
@@ -116,6 +125,8 @@
 void call_reject(call_t *call, int status, ms_t retry_after, const char *why);
 /* Drops the current request, whose answer is complete. */
 void call_drop_request(call_t *call);
+/* Whether bytes after the current request were read. */
+gboolean call_has_pipelined(const call_t *call);
 /* Reads requests from the pipelined bytes. */
 void call_read_pipelined(call_t *call);
 void call_read_start(call_t *call);
@@ -125,6 +136,8 @@
 /* caller_answer.c: sends answers. */
 
 size_t call_queue_size(const call_t *call);
+/* Bytes of answers that the caller has not acknowledged. */
+size_t call_untaken(const call_t *call);
 void call_write_answer(call_t *call, int status, ms_t retry_after,
 		       const char *body);
 
--- a/lib/front/front.c
+++ b/lib/front/front.c
@@ -521,12 +521,20 @@
 	       passed + time > front_grace(front);
 }
 
+/* Whether an answer of the ready or metrics port is not written yet. */
+static gboolean status_is_busy(const front_t *front)
+{
+	return http_server_active(front->ready) ||
+	       (front->metrics && http_server_active(front->metrics));
+}
+
 static void on_stop_check(uv_timer_t *timer)
 {
 	front_t *front = timer->data;
 	ms_t passed = ms_clock_now(front->clock) - front->stopped_at;
 	ms_t grace = front_grace(front);
 	gboolean is_done = !callers_active(front->callers) &&
+			   !status_is_busy(front) &&
 			   adapters_is_stopped(front->adapters);
 
 	if (passed >= ROTATION_MS)
--- a/lib/http/tcp.h
+++ b/lib/http/tcp.h
@@ -12,6 +12,10 @@
  */
 gboolean tcp_was_reset(const uv_tcp_t *tcp);
 
+/* Returns how many bytes the kernel holds that the peer has not acknowledged.
+ */
+size_t tcp_unacknowledged(const uv_tcp_t *tcp);
+
 /* Returns whether nothing, not even EOF, waits to be read. */
 gboolean tcp_is_silent(const uv_tcp_t *tcp);
 
