hold, front: bound what a caller's numbers of tokens count for

Cause: the holder took the stated prompt from its prefill allowance without a bound, and gave it back only when the endpoint said that the request had not run. In the queue alone, one such ticket that is done after 5 ms leaves a wait of minutes, with nothing running and no flow named.

Change: a prompt counts up to what an engine can hold, and when its request ends, however, up to the time that it was at the engine. One that no engine of the service can hold is refused at once. An organisation is charged with the same bound. Numbers of tokens and names of models that can't be read get 400 where they enter, so that no holder gets a message, and no engine an order, that it can't read.

Open: a caller that leaves pays its organisation's whole cost.

--- a/lib/front/adapters_hold.c
+++ b/lib/front/adapters_hold.c
@@ -246,6 +246,7 @@
 	cache->again_time = adapters->options.again_time;
 	admission_queue->places = fleet_endpoint_places(endpoint);
 	admission_queue->prefill_per_ms = adapters->options.prefill_per_ms;
+	admission_queue->prompt_max = service ? service->tokens_max : 0;
 }
 
 /* A cache describes one incarnation: a new one starts without adapters. */
--- a/lib/front/forward.c
+++ b/lib/front/forward.c
@@ -431,6 +431,32 @@
 	return forward;
 }
 
+/*
+ * Ends a request that no endpoint can serve; returns FALSE for any other.  What
+ * a prompt of that size would take counts for nobody.
+ */
+static gboolean refuse_unservable(forward_t *forward)
+{
+	const service_t *service =
+		route_table_service(forward->routes, forward->service);
+
+	if (!service || !service->is_engine)
+		return FALSE;
+	if (forward->fields.fault) {
+		forward->failure_reason = "a header can't be read";
+		forward_answer(forward, STATUS_BAD_REQUEST, 0,
+			       forward->fields.fault);
+		return TRUE;
+	}
+	if (!service->tokens_max ||
+	    forward->fields.tokens_in <= service->tokens_max)
+		return FALSE;
+	forward->failure_reason = "no engine can hold the prompt";
+	forward_answer(forward, STATUS_UNAVAILABLE, 0,
+		       "no endpoint can hold a prompt of this size\n");
+	return TRUE;
+}
+
 void forward_begin(front_t *front, call_t *call)
 {
 	const http1_head_t *head = call_head(call);
@@ -464,5 +490,6 @@
 		forward_refuse(forward, RETRY_STOPPING_MS);
 		return;
 	}
-	forward_charge(forward);
+	if (!refuse_unservable(forward))
+		forward_charge(forward);
 }
--- a/lib/front/forward_credit.c
+++ b/lib/front/forward_credit.c
@@ -33,10 +33,15 @@
 
 static double cost_of(const forward_t *forward)
 {
+	const service_t *service =
+		route_table_service(forward->routes, forward->service);
 	int64_t tokens = forward->fields.tokens_in + forward->fields.tokens_out;
 
 	if (!forward->organisation->is_in_tokens)
 		return 1;
+	/* It can't use more than an engine can hold. */
+	if (service && service->tokens_max)
+		tokens = MIN(tokens, service->tokens_max);
 	return (double)(tokens > 0 ? tokens
 				   : forward->organisation->plain_tokens);
 }
--- a/lib/front/forward_private.h
+++ b/lib/front/forward_private.h
@@ -11,6 +11,7 @@
 #include "front/front_private.h"
 #include "request/retry.h"
 
+#define STATUS_BAD_REQUEST     400
 #define STATUS_UNAUTHORIZED    401
 #define STATUS_NOT_FOUND       404
 #define STATUS_TIMEOUT	       408
--- a/lib/hold/admission_queue.c
+++ b/lib/hold/admission_queue.c
@@ -118,8 +118,12 @@
 static double prefill_time(const admission_queue_t *admission_queue,
 			   const admission_queue_request_t *request)
 {
-	return (double)request->prompt /
-	       admission_queue->options.prefill_per_ms * admission_queue->pace;
+	int64_t max = admission_queue->options.prompt_max;
+	int64_t prompt =
+		CLAMP(request->prompt, 0, max > 0 ? max : ADMISSION_PROMPT_MAX);
+
+	return (double)prompt / admission_queue->options.prefill_per_ms *
+	       admission_queue->pace;
 }
 
 static void refill(admission_queue_t *admission_queue, ms_t now)
@@ -397,6 +401,16 @@
 			       has_run ? 0 : ticket->cost);
 }
 
+/* An engine can't have read a prompt for longer than it had the request. */
+static void settle_prefill(admission_queue_t *admission_queue, ms_t now,
+			   const ticket_t *ticket, gboolean has_run)
+{
+	double time = (double)MAX(now - ticket->started_at, 0);
+	double used = has_run ? MIN(ticket->prefill, time) : 0;
+
+	admission_queue->prefill_credit += ticket->prefill - used;
+}
+
 /* With nothing to share, nobody owes anything. */
 static void clear_flows(admission_queue_t *admission_queue)
 {
@@ -461,13 +475,12 @@
 		admission_queue->priorities[class_of(ticket->request.priority)]
 			.running--;
 		note_end(admission_queue, now);
+		settle_prefill(admission_queue, now, ticket, has_run);
 		if (has_run)
 			admission_queue->mean_run_time +=
 				RUN_WEIGHT *
 				((double)(now - ticket->started_at) -
 				 admission_queue->mean_run_time);
-		else
-			admission_queue->prefill_credit += ticket->prefill;
 	}
 	g_free(ticket);
 	if (!admission_queue->running_count && !admission_queue->waiting_count)
--- a/lib/hold/admission_queue.h
+++ b/lib/hold/admission_queue.h
@@ -10,7 +10,9 @@
  *  - fewer requests than the engine's limit are running, and
  *  - a token bucket has credit for the prefill of its prompt.  An engine reads
  *    prompts between the decode steps of its streams, so many prompts at once
- *    are a pause in each stream.  The bucket spreads them out.
+ *    are a pause in each stream.  The bucket spreads them out.  What a request
+ *    states counts up to what an engine can hold, and when the request ends, up
+ *    to the time that it was at the engine: the rest is given back.
  *
  * The queue is ordered by priority, then by arrival.  A request that would wait
  * longer than its limit is refused at once.
@@ -45,6 +47,12 @@
  */
 #define ADMISSION_PREFILL_BURST_MS 75
 
+/*
+ * Longest prompt that is charged, in tokens, where it is not known what an
+ * engine can hold.
+ */
+#define ADMISSION_PROMPT_MAX (256 * 1024)
+
 /* The initial estimate of the mean time that a request runs. */
 #define ADMISSION_INITIAL_RUN_MS 1500
 
@@ -84,6 +92,8 @@
 typedef struct {
 	int places;	       /* limit of running requests */
 	double prefill_per_ms; /* prompt tokens that the engine reads */
+	/* Tokens that the engine can hold; 0 if that is not known. */
+	int64_t prompt_max;
 } admission_queue_options_t;
 
 typedef struct {
--- a/t/unit/test-admission-queue.c
+++ b/t/unit/test-admission-queue.c
@@ -24,8 +24,8 @@
 
 static admission_queue_t *create_gate(void)
 {
-	static const admission_queue_options_t options = {PLACES,
-							  PREFILL_PER_MS};
+	static const admission_queue_options_t options = {
+		.places = PLACES, .prefill_per_ms = PREFILL_PER_MS};
 	static const admission_queue_actions_t actions = {on_admitted};
 
 	now = 0;
@@ -211,6 +211,107 @@
 	admission_queue_destroy(admission_queue);
 }
 
+/* What a short prompt would wait for behind what was charged, in ms. */
+static ms_t wait_of_short_prompt(admission_queue_t *admission_queue)
+{
+	admission_queue_request_t request = {.prompt = 40, .wait_max = 100};
+
+	return admission_queue_estimate_wait(admission_queue, now, &request);
+}
+
+/*
+ * Guards against a caller that states a huge prompt, leaves at once, and so
+ * closes the engine for everybody (review/9).
+ */
+static void test_stated_prompt_is_given_back(void **state)
+{
+	static const int64_t stated[] = {10000000, 9000000000000000000};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(stated); i++) {
+		admission_queue_t *admission_queue = create_gate();
+		ms_t admitted_at;
+		ticket_t *ticket = submit(admission_queue, stated[i], 0, 100,
+					  &admitted_at);
+
+		admission_queue_tick(admission_queue, now);
+		assert_int_equal(admission_queue_running(admission_queue), 1);
+		/* While it runs, it counts as the longest prompt. */
+		assert_true(wait_of_short_prompt(admission_queue) <=
+			    ADMISSION_PROMPT_MAX / PREFILL_PER_MS /
+				    ADMISSION_PREFILL_SHARE);
+		now += 5;
+		admission_queue_done(admission_queue, now, ticket, TRUE);
+		assert_true(wait_of_short_prompt(admission_queue) <=
+			    5 / ADMISSION_PREFILL_SHARE);
+		admission_queue_destroy(admission_queue);
+	}
+}
+
+#define SEARCH_SEEDS   200
+#define SEARCH_STEPS   400
+#define SEARCH_TICKETS 8
+
+/*
+ * Guards against a charge that is not given back, or twice: requests of any
+ * size end in any way at any time.  Once none runs, no more is owed than the
+ * time that they were at the engine, and no credit is left over.
+ */
+static void test_charges_are_given_back(void **state)
+{
+	guint32 seed;
+
+	for (seed = 1; seed <= SEARCH_SEEDS; seed++) {
+		GRand *rand = g_rand_new_with_seed(seed);
+		admission_queue_t *admission_queue = create_gate();
+		ticket_t *tickets[SEARCH_TICKETS] = {NULL};
+		ms_t admitted_at[SEARCH_TICKETS];
+		double used = 0;
+		int step;
+		int i;
+
+		for (step = 0; step < SEARCH_STEPS + SEARCH_TICKETS; step++) {
+			gboolean is_ending = step >= SEARCH_STEPS;
+
+			i = is_ending
+				    ? step - SEARCH_STEPS
+				    : g_rand_int_range(rand, 0, SEARCH_TICKETS);
+			if (tickets[i]) {
+				gboolean has_run = g_rand_boolean(rand);
+
+				if (has_run && admitted_at[i] >= 0)
+					used += (double)(now - admitted_at[i]);
+				admission_queue_done(admission_queue, now,
+						     tickets[i], has_run);
+				tickets[i] = NULL;
+			} else if (!is_ending) {
+				tickets[i] =
+					submit(admission_queue,
+					       (int64_t)1 << g_rand_int_range(
+						       rand, 0, 63),
+					       g_rand_int_range(rand, 0, 3),
+					       10000000, &admitted_at[i]);
+			}
+			now += g_rand_int_range(rand, 0, 20);
+			admission_queue_tick(admission_queue, now);
+		}
+		assert_int_equal(admission_queue_running(admission_queue), 0);
+		assert_int_equal(admission_queue_waiting(admission_queue), 0);
+		if ((double)wait_of_short_prompt(admission_queue) >
+		    used / ADMISSION_PREFILL_SHARE)
+			fail_msg("seed %u: more is owed than was used", seed);
+		/* Not more than a burst is there either. */
+		now += 100000;
+		admission_queue_tick(admission_queue, now);
+		submit(admission_queue, PREFILL_PER_MS * 1000, 0, 100000,
+		       &admitted_at[0]);
+		admission_queue_tick(admission_queue, now);
+		assert_true(wait_of_short_prompt(admission_queue) > 0);
+		admission_queue_destroy(admission_queue);
+		g_rand_free(rand);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -220,6 +321,8 @@
 		cmocka_unit_test(test_long_wait_is_refused),
 		cmocka_unit_test(test_prompt_not_run_returns_credit),
 		cmocka_unit_test(test_cancelled),
+		cmocka_unit_test(test_stated_prompt_is_given_back),
+		cmocka_unit_test(test_charges_are_given_back),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/t/unit/test-engine-pace.c
+++ b/t/unit/test-engine-pace.c
@@ -462,8 +462,8 @@
 
 static void model_run(model_t *model, gboolean uses_pace, double per_s)
 {
-	static const admission_queue_options_t options = {PLACES,
-							  PREFILL_PER_MS};
+	static const admission_queue_options_t options = {
+		.places = PLACES, .prefill_per_ms = PREFILL_PER_MS};
 	static const admission_queue_actions_t actions = {on_stream_admitted};
 	int i;
 
--- a/t/unit/test-overload.c
+++ b/t/unit/test-overload.c
@@ -60,7 +60,8 @@
 
 static void fixture_init(fixture_t *fixture, gboolean is_policy_on)
 {
-	static const admission_queue_options_t options = {PLACES, 1000};
+	static const admission_queue_options_t options = {
+		.places = PLACES, .prefill_per_ms = 1000};
 	static const admission_queue_actions_t actions = {on_admitted};
 
 	memset(fixture, 0, sizeof(*fixture));
--- a/t/unit/test-platform.c
+++ b/t/unit/test-platform.c
@@ -461,6 +461,73 @@
 	http1_reader_destroy(message.reader);
 }
 
+/*
+ * Guards against numbers of tokens and names of adapters that are passed on and
+ * can't be read by the next process, or count for more than they are.
+ */
+static void test_unreadable_request_headers(void **state)
+{
+	static const struct {
+		const char *headers;
+		gboolean is_valid;
+	} cases[] = {
+		{"X-Hawthorncross-Token-Count: 0,0\r\n", TRUE},
+		{"X-Hawthorncross-Token-Count: 12\r\n", TRUE},
+		{"X-Hawthorncross-Token-Count: 12, 3 \r\n", TRUE},
+		{"X-Hawthorncross-Token-Count: 2147483647,1\r\n", TRUE},
+		{"X-Hawthorncross-Token-Count: -1,80\r\n", FALSE},
+		{"X-Hawthorncross-Token-Count: 1,-80\r\n", FALSE},
+		{"X-Hawthorncross-Token-Count: 1,\r\n", FALSE},
+		{"X-Hawthorncross-Token-Count: 1,2,3\r\n", FALSE},
+		{"X-Hawthorncross-Token-Count: many\r\n", FALSE},
+		{"X-Hawthorncross-Token-Count: 1e9\r\n", FALSE},
+		{"X-Hawthorncross-Token-Count: 2147483648\r\n", FALSE},
+		{"X-Hawthorncross-Token-Count: 18446744073709551616\r\n",
+		 FALSE},
+		{"X-Hawthorncross-Token-Count: 1,2\r\n"
+		 "x-hawthorncross-token-count: 1,2\r\n",
+		 FALSE},
+		{"X-Hawthorncross-Model: m/\xc3\xa4\r\n", TRUE},
+		{"X-Hawthorncross-Model: m/\xe4\r\n", FALSE},
+		{"X-Hawthorncross-Model: a\r\nX-Hawthorncross-Model: b\r\n",
+		 FALSE},
+		{"", TRUE},
+	};
+	char *long_name = g_strnfill(256, 'a');
+	request_fields_t fields;
+	message_t message;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases) + 2; i++) {
+		/* Names of 256 and of 255 bytes follow the table. */
+		gboolean is_row = i < G_N_ELEMENTS(cases);
+		gboolean is_valid =
+			is_row ? cases[i].is_valid : i > G_N_ELEMENTS(cases);
+		char *headers =
+			is_row ? g_strdup(cases[i].headers)
+			       : g_strdup_printf(
+					 "X-Hawthorncross-Model: %s\r\n",
+					 long_name + is_valid);
+		char *text = g_strdup_printf("GET /x HTTP/1.1\r\nHost: h\r\n"
+					     "%s\r\n",
+					     headers);
+
+		read_message(&message, HTTP1_REQUESTS, text);
+		headers_read_request(message.head, &fields);
+		if (is_valid != !fields.fault)
+			fail_msg("row %u: %s", i, headers);
+		if (!is_valid) {
+			assert_int_equal(fields.tokens_in, 0);
+			assert_int_equal(fields.tokens_out, 0);
+			assert_null(fields.adapter);
+		}
+		http1_reader_destroy(message.reader);
+		g_free(headers);
+		g_free(text);
+	}
+	g_free(long_name);
+}
+
 static void test_answer_headers(void **state)
 {
 	message_t message;
@@ -633,6 +700,7 @@
 		cmocka_unit_test(test_store_answers),
 		cmocka_unit_test(test_store_write),
 		cmocka_unit_test(test_request_headers),
+		cmocka_unit_test(test_unreadable_request_headers),
 		cmocka_unit_test(test_answer_headers),
 	};
 
