http/http1_reader: collect the names in Connection once

Cause: for each field of a head, all of its fields were searched for Connection, and each list in one was split anew.

Change: the reader collects the names in one pass, sorted, 64 at most, and each field is looked up among them. A field counts with its colon and line end towards the limit of the head.

--- a/lib/http/http1_reader.c
+++ b/lib/http/http1_reader.c
@@ -1,6 +1,7 @@
 #include "http/http1_reader.h"
 
 #include <http_parser.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/error.h"
@@ -18,6 +19,9 @@
 /* Memory of a short header in addition to its bytes, as allocators round it. */
 #define HEADER_STRINGS_BYTES 64
 
+/* Colon and line end of a field. */
+#define FIELD_FRAMING_BYTES 3
+
 /* A buffer that has grown beyond this is not kept for the next message. */
 #define KEPT_HEADERS_MAX 64
 #define KEPT_TEXT_MAX	 2048
@@ -29,6 +33,7 @@
 	http1_events_t events;
 	void *ctx;
 	http1_head_t head;
+	GPtrArray *options; /* see http1_head_t */
 	GString *target;
 	GString *name; /* of the header being parsed */
 	GString *value;
@@ -91,15 +96,18 @@
 	return add_head_size(reader, size);
 }
 
-static int on_field(http_parser *parser, const char *at, size_t size)
+static int on_field(http_parser *parser, const char *at, size_t length)
 {
 	http1_reader_t *reader = parser->data;
+	size_t size = length;
 
 	/* Trailer fields are not forwarded. */
 	if (reader->is_head_done)
 		return 0;
 	add_header(reader);
-	g_string_append_len(reader->name, at, (gssize)size);
+	if (!reader->name->len)
+		size += FIELD_FRAMING_BYTES;
+	g_string_append_len(reader->name, at, (gssize)length);
 	return add_head_size(reader, size);
 }
 
@@ -110,7 +118,7 @@
 	if (reader->is_head_done)
 		return 0;
 	/* http-parser accepts a space in a name; other parsers don't. */
-	if (strchr(reader->name->str, ' ')) {
+	if (!reader->is_value && strchr(reader->name->str, ' ')) {
 		reader->refusal = "a header's name contains a space";
 		return 1;
 	}
@@ -148,11 +156,58 @@
 	return FALSE;
 }
 
-/* Returns what makes the head of a response invalid, or NULL. */
+static int compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Adds the names of a comma-separated list; FALSE if there are too many. */
+static gboolean add_options(GPtrArray *options, const char *list)
+{
+	while (*list) {
+		size_t size = strcspn(list, ",");
+		char *name = g_strstrip(g_ascii_strdown(list, (gssize)size));
+
+		list += size;
+		list += *list == ',';
+		if (!*name) {
+			g_free(name);
+			continue;
+		}
+		g_ptr_array_add(options, name);
+		if (options->len > HTTP1_OPTIONS_MAX)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+/* Collects the names in Connection in one pass; FALSE if there are too many. */
+static gboolean collect_options(http1_reader_t *reader)
+{
+	const GArray *headers = reader->head.headers;
+	guint i;
+
+	g_ptr_array_set_size(reader->options, 0);
+	for (i = 0; i < headers->len; i++) {
+		const http_header_t *header =
+			&g_array_index(headers, http_header_t, i);
+
+		if (!g_ascii_strcasecmp(header->name, "connection") &&
+		    !add_options(reader->options, header->value))
+			return FALSE;
+	}
+	g_ptr_array_sort(reader->options, compare_names);
+	reader->head.options = reader->options;
+	return TRUE;
+}
+
+/* Returns what makes a head invalid that was parsed, or NULL. */
 static const char *head_refusal(http1_reader_t *reader)
 {
 	const http_parser *parser = &reader->parser;
 
+	if (!collect_options(reader))
+		return "too many names in Connection";
 	if (reader->kind != HTTP1_RESPONSES)
 		return NULL;
 	if (parser->http_major != 1)
@@ -272,6 +327,7 @@
 	reader->name = g_string_new(NULL);
 	reader->value = g_string_new(NULL);
 	reader->head.headers = create_headers();
+	reader->options = g_ptr_array_new_with_free_func(g_free);
 	http1_reader_reset(reader, FALSE);
 	return reader;
 }
@@ -279,6 +335,7 @@
 void http1_reader_destroy(http1_reader_t *reader)
 {
 	g_array_free(reader->head.headers, TRUE);
+	g_ptr_array_free(reader->options, TRUE);
 	g_string_free(reader->target, TRUE);
 	g_string_free(reader->name, TRUE);
 	g_string_free(reader->value, TRUE);
@@ -400,17 +457,9 @@
 	return NULL;
 }
 
-/* Returns whether a comma-separated list contains this word. */
-static gboolean list_contains(const char *list, const char *word)
+static int compare_to_option(const void *name, const void *option)
 {
-	char **words = g_strsplit(list, ",", -1);
-	gboolean found = FALSE;
-	guint i;
-
-	for (i = 0; words[i] && !found; i++)
-		found = !g_ascii_strcasecmp(g_strstrip(words[i]), word);
-	g_strfreev(words);
-	return found;
+	return g_ascii_strcasecmp(name, *(const char *const *)option);
 }
 
 gboolean http1_is_hop_by_hop_header(const http1_head_t *head, const char *name)
@@ -419,19 +468,17 @@
 		"connection",	       "keep-alive", "proxy-connection",
 		"proxy-authenticate",  "te",	     "trailer",
 		"proxy-authorization", "upgrade",    "transfer-encoding"};
+	const void *found;
 	guint i;
 
 	for (i = 0; i < G_N_ELEMENTS(hop); i++) {
-		if (!g_ascii_strcasecmp(name, hop[i]))
+		if (g_ascii_tolower(*name) == *hop[i] &&
+		    !g_ascii_strcasecmp(name, hop[i]))
 			return TRUE;
 	}
-	for (i = 0; i < head->headers->len; i++) {
-		const http_header_t *header =
-			&g_array_index(head->headers, http_header_t, i);
-
-		if (!g_ascii_strcasecmp(header->name, "connection") &&
-		    list_contains(header->value, name))
-			return TRUE;
-	}
-	return FALSE;
+	if (!head->options || !head->options->len)
+		return FALSE;
+	found = bsearch(name, head->options->pdata, head->options->len,
+			sizeof(gpointer), compare_to_option);
+	return found != NULL;
 }
--- a/lib/http/http1_reader.h
+++ b/lib/http/http1_reader.h
@@ -11,7 +11,8 @@
  *
  * Errors: ERROR_TOO_LARGE for a head above the limit, ERROR_PROTOCOL for
  * malformed input, conflicting body lengths, a response with a transfer coding
- * other than "chunked", or a switch to another protocol.
+ * other than "chunked", a switch to another protocol, or more than
+ * HTTP1_OPTIONS_MAX names in Connection.
  */
 
 #include <glib.h>
@@ -27,8 +28,13 @@
 	gboolean has_length; /* the end doesn't depend on EOF */
 	uint64_t length;     /* announced for the body; G_MAXUINT64 if none */
 	GArray *headers;     /* of http_header_t, names as received */
+	/* Names listed in Connection, in lower case and sorted; may be NULL. */
+	const GPtrArray *options;
 } http1_head_t;
 
+/* Names that may be listed in Connection, in all its fields together. */
+#define HTTP1_OPTIONS_MAX 64
+
 typedef struct {
 	void (*on_head)(void *ctx, const http1_head_t *head);
 	void (*on_data)(void *ctx, const char *data, size_t size);
@@ -40,7 +46,10 @@
 
 typedef struct http1_reader http1_reader_t;
 
-/* head_max: size limit of the head in bytes; 0 for that of http-parser. */
+/*
+ * head_max: size limit of the head in bytes; 0 for that of http-parser.  The
+ * target counts, and each field with its colon and line end.
+ */
 http1_reader_t *http1_reader_create(http1_kind_t kind, size_t head_max,
 				    const http1_events_t *events, void *ctx);
 void http1_reader_destroy(http1_reader_t *reader);
--- a/t/unit/test-http1.c
+++ b/t/unit/test-http1.c
@@ -311,18 +311,38 @@
 	g_free(filler);
 }
 
-static gboolean is_hop(const char *name, const char *head)
+typedef struct {
+	const char *name;
+	gboolean is_hop;
+} hop_t;
+
+static void on_hop_head(void *ctx, const http1_head_t *head)
+{
+	hop_t *hop = ctx;
+
+	hop->is_hop = http1_is_hop_by_hop_header(head, hop->name);
+}
+
+static void on_hop_end(void *ctx)
 {
-	http1_head_t copy = {0};
-	GArray *headers = g_array_new(FALSE, TRUE, sizeof(http_header_t));
-	http_header_t connection = {"Connection", head};
-	gboolean hop;
-
-	g_array_append_val(headers, connection);
-	copy.headers = headers;
-	hop = http1_is_hop_by_hop_header(&copy, name);
-	g_array_free(headers, TRUE);
-	return hop;
+}
+
+/* By the head of a request with this Connection header. */
+static gboolean is_hop(const char *name, const char *connection)
+{
+	static const http1_events_t hop_events = {on_hop_head, NULL,
+						  on_hop_end};
+	hop_t hop = {name, FALSE};
+	http1_reader_t *reader = http1_reader_create(HTTP1_REQUESTS, HEAD_MAX,
+						     &hop_events, &hop);
+	char *text = g_strdup_printf("GET / HTTP/1.1\r\nConnection: %s\r\n\r\n",
+				     connection);
+
+	assert_int_equal(http1_reader_feed(reader, text, strlen(text), NULL),
+			 strlen(text));
+	http1_reader_destroy(reader);
+	g_free(text);
+	return hop.is_hop;
 }
 
 static void test_hop_by_hop_headers(void **state)
