--- a/lib/route/route_table.h
+++ b/lib/route/route_table.h
@@ -46,9 +46,9 @@
 	char *name;
 	int connections_max; /* of one endpoint, by all callers */
 	gboolean is_engine;
-	int adapter_slots; /* of an engine; 0 if it holds no adapters */
+	int adapter_slots;  /* of an engine; 0 if it holds no adapters */
 	int64_t tokens_max; /* that an engine can hold; 0 if not known */
-	char *model;	   /* the first base model of an engine; may be NULL */
+	char *model;	    /* the first base model of an engine; may be NULL */
 } service_t;
 
 typedef struct {
