--- a/review/standins-3/common.sh
+++ b/review/standins-3/common.sh
@@ -211,3 +211,32 @@
 		'connections without an answer to a request that it had passed on'
 	held 'LOST'
 }
+# Ends the case by rule RECOVER for machine N: a time of stableMs in which it took no new
+# connection, while seven clients or more tried.
+judge_recover () {
+	longest=$(awk -v at="$network.$1:8000" '
+	function close_span(now) {
+		if (tried >= 7 && now - since > longest) longest = now - since
+	}
+	$2 == "connect" && $3 == at { client = $5; now = $1; taken = 0; seen = 1 }
+	$2 == "request" && $5 == at && $6 == "new" {
+		split($3, id, "-"); client = id[2]; now = $1; taken = $7 == "answered"; seen = 1
+	}
+	$2 == "request" && $5 == at && $6 == "kept" { seen = 0 }
+	!seen { next }
+	{
+		seen = 0
+		if (!since) since = now
+		if (taken) {
+			close_span(now); since = now; tried = 0; delete tries
+		} else if (!(client in tries)) {
+			tries[client] = 1; tried++
+		}
+		last = now
+	}
+	END { close_span(last); print longest + 0 }' "$out")
+	say "machine $1 took no new connection for $longest ms, while seven clients or more tried"
+	test "$longest" -lt 3000 || broken 'RECOVER: a machine in touch that says it is ready' \
+		'takes no new connection for stableMs'
+	held 'RECOVER'
+}
--- a/review/standins-3/peer3.c
+++ b/review/standins-3/peer3.c
@@ -548,6 +548,9 @@
 	receive_buffer = is_unread ? 2048 : 0;
 	for (i = 0; i < count; i++) {
 		members[i].fd = connect_within(argv[2], 1000);
+		/* It takes no more connections. */
+		if (members[i].fd < 0 && !is_stream && !is_unread)
+			break;
 		if (members[i].fd < 0)
 			continue;
 		make_member(&members[i], i, form, amount);
@@ -558,6 +561,8 @@
 			sleep_ms(pause);
 		}
 	}
+	count = i;
+	printf("opened %d\n", count);
 	moved_at = now_ms();
 	for (;;) {
 		for (i = 0; i < count; i++) {
