--- a/review/standins-3/common.sh
+++ b/review/standins-3/common.sh
@@ -67,6 +67,9 @@
 	test -x "$program" || cannot "$program is not built; see review/build-3.sh"
 done
 
+# As many descriptors as the machines of the sheet have.
+ulimit -S -n 4100 2>/dev/null || cannot 'a process may not open 4,100 descriptors'
+
 start () {
 	name=$1
 	shift
